--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,10 @@
+//! lilacgate shifts calls between an old and a new build.
+//!
+//! An agent hands every event of a round to [`brain::Brain::round`] and gets its decisions through a
+//! [`port::Decisions`] writer: which appliance a txn goes to, when it is declined or voided, and how the
+//! agent votes on the build on trial. [`port`] is the interface, [`brain`] holds all decisions.
+//! The crate does no input or output of its own.
+#![forbid(unsafe_code)]
+
+pub mod brain;
+pub mod port;
--- /dev/null
+++ b/src/port.rs
@@ -0,0 +1,218 @@
+//! The interface of the decision module: ids, plain enums, what the module hears and what it decides.
+//! Nothing here decides anything. Times are spans since the start.
+use std::time::Duration;
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    /// One try of a client; never used again.
+    TxnId(u32);
+    /// A process that serves txns; the number outlives a restart.
+    ApplianceId(u32);
+    /// An agent among its peers, counting from 0.
+    AgentId(u32);
+    /// A class of txns, as its place in the list of products.
+    Product(u8);
+    /// A customer with a share of its own, as its place in the list.
+    Tenant(u16);
+    /// A place where machines stand together.
+    Zone(u8);
+    /// A type of machine.
+    Model(u8);
+    /// A small group of appliances that tell each other which marks they have seen.
+    Cell(u16);
+    /// A version of the appliances' software; later ones are higher.
+    Build(u16);
+    /// A step of a build's way in, counting from 0.
+    Stage(u8);
+    /// What a txn concerns.
+    Mark(u64);
+    /// Which submission of a txn, counting from 0.
+    Leg(u8);
+    /// Names a wake-up asked for earlier.
+    Ticket(u64);
+}
+
+/// Which appliances drop a repeat of a referenced txn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What may be done again with a txn of a product.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    InquiryLike,
+    Referenced(Group),
+    OnceOnly,
+}
+
+/// How a submission or a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Served,
+    Failed,
+    TurnedAway,
+    TimedOut,
+    Unconnected,
+    Broken,
+    CalledOff,
+    Unsent,
+}
+
+/// What the roster says of an appliance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a roster update is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    Changes,
+    Whole,
+    Saved,
+    Failed,
+}
+
+/// Where a build stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Course {
+    OnTrial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+/// What moves a build through its stages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gate {
+    Single,
+    Majority,
+    Clocked,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Withdraw,
+    On,
+    Hold,
+    Back,
+}
+
+/// What listed weights mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    None,
+    Nominal,
+    Rough,
+    Live,
+}
+
+/// A load figure that appliances may report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gauge {
+    InHand,
+    Queued,
+    Busy,
+    ServiceMillis,
+    Rate,
+    FailRate,
+}
+
+/// A txn as its client sent it.
+#[derive(Clone, Copy, Debug)]
+pub struct Txn {
+    pub product: Product,
+    pub tenant: Tenant,
+    pub mark: Option<Mark>,
+    /// When the client gives this try up.
+    pub expiry: Duration,
+    /// Rough work on a yardstick core.
+    pub hint: Option<Duration>,
+    pub repeated: bool,
+}
+
+/// What is agreed for the txns of one product.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    pub repeat: Repeat,
+    /// An answer inside this time earns the whole revenue.
+    pub sla: Duration,
+    /// How long a client waits at most, over all its tries.
+    pub expiry: Duration,
+    /// For referenced products: how long repeats are dropped, from the first submission that may have run.
+    pub remembered: Duration,
+    pub revenue: f64,
+    /// Share of the revenue for an answer after the SLA time.
+    pub late_share: f64,
+}
+
+/// A line of the roster.
+#[derive(Clone, Copy, Debug)]
+pub struct Line {
+    pub appliance: ApplianceId,
+    pub mode: Mode,
+    pub model: Model,
+    pub weight: f32,
+    /// When it last started; `None` for long ago.
+    pub started: Option<Duration>,
+    pub build: Build,
+    pub cell: Cell,
+    pub zone: Zone,
+}
+
+/// Everything an agent can hear in a round, one method an event, in the order of the events.
+pub trait Hears {
+    fn txn(&mut self, id: TxnId, txn: Txn);
+    fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool);
+    fn stream_begun(&mut self, id: TxnId, leg: Leg, at: ApplianceId, took: Duration);
+    fn client_left(&mut self, id: TxnId);
+    /// `lines` are the entries of this update, none if it failed.
+    fn roster(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>);
+    fn load(&mut self, at: ApplianceId, gauges: &[f32]);
+    fn probed(&mut self, at: ApplianceId, ending: Ending, took: Duration);
+    fn peer(&mut self, from: AgentId, octets: &[u8]);
+    /// News of the newest build; `answer` if it answers a vote, with how the vote's call ended.
+    fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration);
+    fn vote_answered(&mut self, ending: Ending);
+    /// The platform's own count of a past period.
+    fn tally(
+        &mut self,
+        build: Build,
+        product: Product,
+        count: u32,
+        failed: u32,
+        mean: Duration,
+        age: Duration,
+    );
+    fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration);
+    fn woken(&mut self, ticket: Ticket);
+}
+
+/// Takes the module's decisions as they are made, one method a decision.
+pub trait Decisions {
+    fn submit(&mut self, id: TxnId, to: ApplianceId, give_up_after: Duration);
+    fn decline(&mut self, id: TxnId, come_back_in: Duration);
+    fn void(&mut self, id: TxnId);
+    fn call_off(&mut self, id: TxnId, leg: Leg);
+    fn wake(&mut self, at: Duration, ticket: Ticket);
+    fn probe(&mut self, at: ApplianceId);
+    fn free_links(&mut self, at: ApplianceId);
+    /// To one peer, or to all of them.
+    fn tell(&mut self, peer: Option<AgentId>, octets: &[u8]);
+    fn log(&mut self, text: &str);
+    fn watch_roster(&mut self, on: bool);
+    fn fetch_roster(&mut self);
+    fn vote(&mut self, build: Build, stage: Stage, verdict: Verdict);
+}
