--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -109,12 +109,7 @@
 
     /// One instance's events without a break, as one round of its module.
     fn segment(
-        &mut self,
-        now: Duration,
-        on: Option<u16>,
-        first: usize,
-        records: &[Field],
-        tail: &[u8],
+        &mut self, now: Duration, on: Option<u16>, first: usize, records: &[Field], tail: &[u8],
         reply: &mut Reply,
     ) -> Result<(), String> {
         if records.iter().all(|r| r.u8(0) == wire::PAGE) {
@@ -171,10 +166,7 @@
 
 /// Hands one record to the module, field by field.
 fn hear(
-    r: Field,
-    tail: &[u8],
-    pages: &mut [Option<Vec<Line>>],
-    ear: &mut dyn lilacgate::port::Hears,
+    r: Field, tail: &[u8], pages: &mut [Option<Vec<Line>>], ear: &mut dyn lilacgate::port::Hears,
 ) -> Result<(), String> {
     match r.u8(0) {
         wire::PAGE => page(r, tail, pages)?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,14 +24,12 @@
     fn add(&mut self, now: Duration, half: Duration, x: f64) {
         *self = Fading { sum: self.read(now, half) + x, at: now };
     }
-    /// What is added a second, when that has been steady.
-    fn rate(&self, now: Duration, half: Duration) -> f64 {
-        self.read(now, half) * std::f64::consts::LN_2 / half.as_secs_f64()
-    }
 }
 
 /// Outcomes and times fade by half in this long: about ten answers of a small agent's share of an appliance.
-const HEALTH_HALF: Duration = Duration::from_secs(2);
+const HEALTH_HALF: Duration = Duration::from_secs(1);
+/// What is usual fades by half in this long.
+const BASE_HALF: Duration = Duration::from_secs(10);
 /// Demand fades by half in this long.
 const DEMAND_HALF: Duration = Duration::from_secs(2);
 
@@ -45,13 +43,27 @@
     young: bool,
 }
 
+/// Time taken, and the hinted work it was taken for.
+#[derive(Clone, Copy, Default)]
+struct Pace {
+    took: Fading,
+    worked: Fading,
+}
+
+impl Pace {
+    fn add(&mut self, now: Duration, half: Duration, took: Duration, work: f64) {
+        self.took.add(now, half, took.as_secs_f64());
+        self.worked.add(now, half, work);
+    }
+}
+
 struct Appliance {
     line: Line,
     out: BTreeMap<(TxnId, Leg), Out>,
     answers: Fading,
     fails: Fading,
-    took: Fading,
-    worked: Fading,
+    recent: Pace,
+    base: Pace,
     /// Work sent while it may be cold.
     pushed: VecDeque<(Duration, f64)>,
     barred_until: Duration,
@@ -62,6 +74,16 @@
     fn age(&self, now: Duration) -> Option<Duration> {
         self.line.started.map(|s| now.saturating_sub(s))
     }
+    /// Its own pace, drawn to the given one while it has answered little of late.
+    fn pace(&self, now: Duration, base: f64) -> f64 {
+        let prior = 0.2;
+        let took = self.recent.took.read(now, HEALTH_HALF) + prior * base;
+        // Silence counts before any answer does.
+        let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work;
+        let stalled = self.out.values().map(stall).fold(0.0, f64::max) / 3.0;
+        stalled.max(took / (self.recent.worked.read(now, HEALTH_HALF) + prior))
+    }
+
     fn failing(&self, now: Duration) -> f64 {
         self.fails.read(now, HEALTH_HALF) / (self.answers.read(now, HEALTH_HALF) + 1.0)
     }
@@ -110,8 +132,8 @@
                 out: BTreeMap::new(),
                 answers: Fading::default(),
                 fails: Fading::default(),
-                took: Fading::default(),
-                worked: Fading::default(),
+                recent: Pace::default(),
+                base: Pace::default(),
                 pushed: VecDeque::new(),
                 barred_until: Duration::ZERO,
                 bar: Duration::ZERO,
@@ -134,10 +156,10 @@
         self.known.iter().filter(|(_, a)| a.line.mode == Mode::Ready).map(|(&id, a)| (id, a))
     }
 
-    /// Time taken for each unit of hinted work, over all appliances that the filter takes.
+    /// Usual time taken for each unit of hinted work, over all appliances that the filter takes.
     fn pace(&self, now: Duration, of: impl Fn(&Appliance) -> bool) -> Option<f64> {
         let sums = self.ready().filter(|(_, a)| of(a)).fold((0.0, 0.0), |(t, w), (_, a)| {
-            (t + a.took.read(now, HEALTH_HALF), w + a.worked.read(now, HEALTH_HALF))
+            (t + a.base.took.read(now, BASE_HALF), w + a.base.worked.read(now, BASE_HALF))
         });
         (sums.1 > 0.0).then(|| sums.0 / sums.1)
     }
@@ -201,12 +223,7 @@
 
 impl Exposure {
     pub fn new(
-        span: Duration,
-        tick: Duration,
-        free: f64,
-        first_cap: f64,
-        per_product: bool,
-        guarded: u8,
+        span: Duration, tick: Duration, free: f64, first_cap: f64, per_product: bool, guarded: u8,
         forward_only: bool,
     ) -> Self {
         let (taken, sent) = (VecDeque::new(), VecDeque::new());
@@ -239,12 +256,7 @@
     }
 
     fn permits(
-        &self,
-        now: Duration,
-        build: Build,
-        product: Product,
-        repeat: Repeat,
-        mark: Option<Mark>,
+        &self, now: Duration, build: Build, product: Product, repeat: Repeat, mark: Option<Mark>,
     ) -> bool {
         let Some((stage, cap)) = self.bound(build) else {
             let Some((b, _, Course::OnTrial | Course::Released, _)) = self.news else { return true };
@@ -357,11 +369,7 @@
 
 impl Jury {
     pub fn new(
-        gate: Gate,
-        rings: Vec<f64>,
-        vote_lasts: Duration,
-        call_wait: Duration,
-        products: usize,
+        gate: Gate, rings: Vec<f64>, vote_lasts: Duration, call_wait: Duration, products: usize,
     ) -> Self {
         let tests = vec![Test::default(); products];
         Jury {
@@ -405,11 +413,7 @@
     }
 
     fn round(
-        &mut self,
-        now: Duration,
-        roster: &Roster,
-        news: (Build, Stage, Course, f64),
-        out: &mut dyn Decisions,
+        &mut self, now: Duration, roster: &Roster, news: (Build, Stage, Course, f64), out: &mut dyn Decisions,
     ) {
         let Some(verdict) = self.verdict(now, roster, news) else { return };
         if let Some((b, s, v, sent, answer)) = self.vote
@@ -466,7 +470,9 @@
     longest_advice: Duration,
     tick: Duration,
     held: BTreeMap<TxnId, Held>,
-    demand: Fading,
+    /// Work that was served, and listed weight x time: what a unit of weight is seen to bear.
+    served: Fading,
+    weight: Fading,
     hints: Vec<(Fading, Fading)>,
     second: Fading,
     taken: Fading,
@@ -474,14 +480,11 @@
 
 impl Desk {
     pub fn new(
-        products: Vec<Terms>,
-        max_submissions: usize,
-        second_copies: bool,
-        longest_advice: Duration,
+        products: Vec<Terms>, max_submissions: usize, second_copies: bool, longest_advice: Duration,
         tick: Duration,
     ) -> Self {
         let hints = vec![<(Fading, Fading)>::default(); products.len()];
-        let (held, demand) = (BTreeMap::new(), Fading::default());
+        let (held, served, weight) = (BTreeMap::new(), Fading::default(), Fading::default());
         let (second, taken) = (Fading::default(), Fading::default());
         Desk {
             products,
@@ -490,7 +493,8 @@
             longest_advice,
             tick,
             held,
-            demand,
+            served,
+            weight,
             hints,
             second,
             taken,
@@ -519,18 +523,22 @@
     jury: Jury,
     desk: Desk,
     wake_at: Duration,
+    /// Time for a unit of hinted work: long-run mean of all appliances, and the middle appliance's now.
+    base_pace: f64,
+    middle_pace: f64,
 }
 
 impl Brain {
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
-        let (now, wake_at) = (Duration::ZERO, Duration::ZERO);
-        Brain { now, begun: false, chance, roster, thaw, exposure, jury, desk, wake_at }
+        let (now, wake_at, begun) = (Duration::ZERO, Duration::ZERO, false);
+        let (base_pace, middle_pace) = (1.0, 1.0);
+        Brain { now, begun, chance, roster, thaw, exposure, jury, desk, wake_at, base_pace, middle_pace }
     }
 
     /// Hears all that came in, then decides.
     pub fn round(&mut self, now: Duration, intake: impl FnOnce(&mut dyn Hears), out: &mut dyn Decisions) {
-        self.now = now;
+        let passed = now.saturating_sub(std::mem::replace(&mut self.now, now));
         if !self.begun {
             self.begun = true;
             self.exposure.started = Some(now);
@@ -541,6 +549,12 @@
             self.roster.ask_at = None;
             out.watch_roster(true);
         }
+        let weight: f64 = self.roster.ready().map(|(_, a)| f64::from(a.line.weight)).sum();
+        self.desk.weight.add(now, BASE_HALF, weight * passed.as_secs_f64());
+        self.base_pace = self.roster.pace(now, |_| true).unwrap_or(1.0);
+        let mut paces: Vec<f64> = self.roster.ready().map(|(_, a)| a.pace(now, self.base_pace)).collect();
+        paces.sort_by(f64::total_cmp);
+        self.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.base_pace);
         let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
         order.sort();
         for (_, id) in order {
@@ -576,7 +590,11 @@
             return;
         }
         let hopeless = sla_left.is_zero() && terms.late_share <= 0.0;
-        if left <= self.desk.tick * 4 || hopeless || !self.resendable(h, &terms) || self.crowded(h, &terms) {
+        if left <= self.desk.tick * 4 || hopeless || !self.resendable(h, &terms) {
+            return self.give_up(id, out);
+        }
+        let (product, first) = (h.txn.product, h.legs.is_empty());
+        if first && self.crowded(product, &terms, sla_left) {
             return self.give_up(id, out);
         }
         if let Some(to) = self.choose(id) {
@@ -598,18 +616,22 @@
 
     /// Whether the submissions out have taken far longer than their appliances usually need.
     fn overdue(&self, h: &Held, terms: &Terms) -> bool {
-        let pace = self.roster.pace(self.now, |_| true).unwrap_or(1.0);
+        let pace = self.middle_pace;
         let usual = Duration::from_secs_f64((3.0 * pace * self.work(&h.txn)).min(1e3));
         let late = usual.max(terms.sla / 4);
         h.out() == 1 && h.legs.iter().all(|l| l.ending.is_some() || self.now >= l.sent + late)
     }
 
-    /// Whether answers come so slowly that this product's would be late: the less it earns, the sooner.
-    fn crowded(&self, h: &Held, terms: &Terms) -> bool {
-        let Some(pace) = self.roster.pace(self.now, |_| true) else { return false };
+    /// Whether the middle appliance answers so slowly that this product would be late: the less it earns, the
+    /// sooner. Guards against queues everywhere (bursts, mass crashes, shared slowdowns). One sick appliance
+    /// does not move the middle, and with no fresh answers the pace goes back to its long-run mean, so that
+    /// declines end by themselves. It harms if SLA times are tighter than an idle appliance can keep.
+    fn crowded(&mut self, product: Product, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
-        let pressure = pace * self.desk.typical(self.now, h.txn.product) / terms.sla.as_secs_f64().max(1e-6);
-        pressure > 0.6 + 0.3 * terms.revenue / most
+        let expected = self.middle_pace * self.desk.typical(self.now, product);
+        let pressure = expected / sla_left.as_secs_f64().max(1e-6);
+        let from = 0.4 + 0.3 * terms.revenue / most;
+        self.chance.random::<f64>() < (pressure - from) / 0.3
     }
 
     fn work(&self, txn: &Txn) -> f64 {
@@ -636,8 +658,9 @@
         let h = self.desk.held.get(&id)?;
         let terms = self.desk.terms(h.txn.product)?;
         let work = self.work(&h.txn);
-        let total: f64 = self.roster.ready().map(|(_, a)| f64::from(a.line.weight)).sum();
-        let fair = self.desk.demand.rate(now, DEMAND_HALF) / total.max(1e-9);
+        // What the fleet was seen to bear, for each unit of weight.
+        let weight = self.desk.weight.read(now, BASE_HALF);
+        let fair = self.desk.served.read(now, BASE_HALF) / weight.max(1e-9);
         let mut arms: [Vec<(ApplianceId, f64, f64)>; 2] = Default::default();
         let mut listed = [0.0; 2];
         let mut permitted = BTreeMap::new();
@@ -683,15 +706,9 @@
     /// What a txn may expect to wait there, relative to others of the same build.
     fn cost(&self, a: &Appliance) -> f64 {
         let now = self.now;
-        let mates = self.roster.pace(now, |m| m.line.build == a.line.build).unwrap_or(1.0);
-        let prior = 0.2;
-        let pace =
-            (a.took.read(now, HEALTH_HALF) + prior * mates) / (a.worked.read(now, HEALTH_HALF) + prior);
-        // Silence counts before any answer does.
-        let stall =
-            a.out.values().map(|o| now.saturating_sub(o.sent).as_secs_f64() / o.work).fold(0.0, f64::max);
+        let pace = a.pace(now, self.base_pace);
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 1.3 };
-        pace.max(stall / 3.0) * (1.0 + a.out.len() as f64) * across
+        pace * (1.0 + a.out.len() as f64) * across
             / (1.0 - 0.9 * a.failing(now))
             / f64::from(a.line.weight).max(1e-3)
     }
@@ -754,8 +771,6 @@
             sums.0.add(now, DEMAND_HALF, hint.as_secs_f64());
             sums.1.add(now, DEMAND_HALF, 1.0);
         }
-        let work = self.work(&txn);
-        self.desk.demand.add(now, DEMAND_HALF, work);
         self.desk.held.insert(id, Held { txn, arrived: now, legs: Vec::new(), risk: None });
     }
 
@@ -776,9 +791,10 @@
                 a.answers.add(now, HEALTH_HALF, 1.0);
                 a.fails.add(now, HEALTH_HALF, f64::from(u8::from(fail)));
             }
-            if matches!(ending, Ending::Served | Ending::TimedOut) {
-                a.took.add(now, HEALTH_HALF, took.as_secs_f64());
-                a.worked.add(now, HEALTH_HALF, o.work);
+            if ending == Ending::Served {
+                a.recent.add(now, HEALTH_HALF, took, o.work);
+                a.base.add(now, BASE_HALF, took, o.work);
+                self.desk.served.add(now, BASE_HALF, o.work);
             }
             // An appliance that fails far more than others of its build is left alone for a while, longer each
             // time. A build as a whole is never barred: its failures are the test's evidence.
--- a/src/port.rs
+++ b/src/port.rs
@@ -188,13 +188,7 @@
     fn vote_answered(&mut self, ending: Ending);
     /// The platform's own count of a past period.
     fn tally(
-        &mut self,
-        build: Build,
-        product: Product,
-        count: u32,
-        failed: u32,
-        mean: Duration,
-        age: Duration,
+        &mut self, build: Build, product: Product, count: u32, failed: u32, mean: Duration, age: Duration,
     );
     fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration);
     fn woken(&mut self, ticket: Ticket);
