--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,11 +75,11 @@
         self.line.started.map(|s| now.saturating_sub(s))
     }
     /// Its own pace, drawn to the given one while it has answered little of late.
-    fn pace(&self, now: Duration, base: f64) -> f64 {
+    fn pace(&self, now: Duration, base: f64, usual: f64) -> f64 {
         let prior = 0.2;
         let took = self.recent.took.read(now, HEALTH_HALF) + prior * base;
         // Silence counts before any answer does.
-        let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work;
+        let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work.max(usual);
         let stalled = self.out.values().map(stall).fold(0.0, f64::max) / 3.0;
         stalled.max(took / (self.recent.worked.read(now, HEALTH_HALF) + prior))
     }
@@ -526,14 +526,28 @@
     /// Time for a unit of hinted work: long-run mean of all appliances, and the middle appliance's now.
     base_pace: f64,
     middle_pace: f64,
+    usual_work: f64,
 }
 
 impl Brain {
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
         let (now, wake_at, begun) = (Duration::ZERO, Duration::ZERO, false);
-        let (base_pace, middle_pace) = (1.0, 1.0);
-        Brain { now, begun, chance, roster, thaw, exposure, jury, desk, wake_at, base_pace, middle_pace }
+        let (base_pace, middle_pace, usual_work) = (1.0, 1.0, 1e-3);
+        Brain {
+            now,
+            begun,
+            chance,
+            roster,
+            thaw,
+            exposure,
+            jury,
+            desk,
+            wake_at,
+            base_pace,
+            middle_pace,
+            usual_work,
+        }
     }
 
     /// Hears all that came in, then decides.
@@ -552,7 +566,10 @@
         let weight: f64 = self.roster.ready().map(|(_, a)| f64::from(a.line.weight)).sum();
         self.desk.weight.add(now, BASE_HALF, weight * passed.as_secs_f64());
         self.base_pace = self.roster.pace(now, |_| true).unwrap_or(1.0);
-        let mut paces: Vec<f64> = self.roster.ready().map(|(_, a)| a.pace(now, self.base_pace)).collect();
+        let products = (0..self.desk.products.len()).map(|p| self.desk.typical(now, Product(p as u8)));
+        self.usual_work = products.fold(1e-3, f64::max);
+        let mut paces: Vec<f64> =
+            self.roster.ready().map(|(_, a)| a.pace(now, self.base_pace, self.usual_work)).collect();
         paces.sort_by(f64::total_cmp);
         self.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.base_pace);
         let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
@@ -667,7 +684,6 @@
         for (aid, a) in self.roster.ready() {
             let weight = f64::from(a.line.weight) * self.thaw.warmth(a.age(now));
             let arm = usize::from(self.exposure.bound(a.line.build).is_some());
-            listed[arm] += weight;
             let in_group = match (terms.repeat, h.risk) {
                 (Repeat::Referenced(Group::Zone), Some((_, zone, _))) => a.line.zone == zone,
                 (Repeat::Referenced(Group::Cell), Some((.., cell))) => a.line.cell == cell,
@@ -684,6 +700,7 @@
             }
             let tried = h.legs.iter().any(|l| l.to == aid);
             let barred = now < a.barred_until;
+            listed[arm] += if barred { 0.0 } else { weight };
             let odds = weight * if tried { 0.01 } else { 1.0 } * if barred { 1e-4 } else { 1.0 };
             arms[arm].push((aid, odds, self.cost(a)));
         }
@@ -706,7 +723,7 @@
     /// What a txn may expect to wait there, relative to others of the same build.
     fn cost(&self, a: &Appliance) -> f64 {
         let now = self.now;
-        let pace = a.pace(now, self.base_pace);
+        let pace = a.pace(now, self.base_pace, self.usual_work);
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 1.3 };
         pace * (1.0 + a.out.len() as f64) * across
             / (1.0 - 0.9 * a.failing(now))
