--- a/crates/drill/src/options.rs
+++ b/crates/drill/src/options.rs
@@ -77,8 +77,8 @@
     let products = (0..count.into()).map(|i| pairs.product(i)).collect::<Result<Vec<_>, _>>()?;
     let tick = pairs.period("tick")?;
     let asks = pairs.word("membership-mode", &[("push", false), ("ask", true)])?;
-    let ask_within = if asks { pairs.period("rules.ask-within")? } else { Duration::ZERO };
-    let roster = Roster::new(Zone(pairs.num("zone")?), asks, ask_within);
+    let ask_within = if asks { Some(pairs.period("rules.ask-within")?) } else { None };
+    let roster = Roster::new(Zone(pairs.num("zone")?), ask_within);
     let thaw = Thaw::new(
         pairs.figure("rules.cold-from")?,
         pairs.span("rules.ramp-time")?,
@@ -100,14 +100,17 @@
     let jury = Jury::new(
         pairs.word("family-info.gate-mode", &gates)?,
         pairs.figures("family-info.rings")?,
+        pairs.period("family-info.min-dwell")?,
         pairs.period("family-info.vote-ttl")?,
         pairs.period("family-info.call-timeout")?,
+        pairs.word("family-info.layout", &[("side_by_side", false), ("rolling", true)])?,
         products.len(),
     );
     let desk = Desk::new(
         products,
         pairs.num("limits.max-attempts")?,
         pairs.num("limits.second-copies")?,
+        pairs.num("limits.may-cancel")?,
         if pairs.num("limits.retry-after")? { pairs.span("limits.max-retry-after")? } else { Duration::ZERO },
         tick,
     );
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,12 +26,10 @@
     }
 }
 
-/// Outcomes and times fade by half in this long: about ten answers of a small agent's share of an appliance.
-const HEALTH_HALF: Duration = Duration::from_secs(1);
+/// Outcomes and times fade by half in this long: a few answers of a small agent's share of an appliance.
+const RECENT: Duration = Duration::from_secs(1);
 /// What is usual fades by half in this long.
-const BASE_HALF: Duration = Duration::from_secs(10);
-/// Demand fades by half in this long.
-const DEMAND_HALF: Duration = Duration::from_secs(2);
+const USUAL: Duration = Duration::from_secs(10);
 
 /// A submission that is out.
 struct Out {
@@ -39,61 +37,67 @@
     work: f64,
     product: Product,
     build: Build,
-    /// Sent to an appliance too young to be evidence.
-    young: bool,
+    /// Sent to an appliance too young, or too suspect, to be evidence.
+    mute: bool,
 }
 
-/// Time taken, and the hinted work it was taken for.
-#[derive(Clone, Copy, Default)]
-struct Pace {
-    took: Fading,
-    worked: Fading,
-}
-
-impl Pace {
-    fn add(&mut self, now: Duration, half: Duration, took: Duration, work: f64) {
-        self.took.add(now, half, took.as_secs_f64());
-        self.worked.add(now, half, work);
-    }
+/// What this agent has seen of an appliance since it last started.
+#[derive(Default)]
+struct Record {
+    answers: Fading,
+    fails: Fading,
+    /// Time taken and hinted work of served submissions: of late, and in the long run.
+    recent: (Fading, Fading),
+    usual: (Fading, Fading),
+    heard: Duration,
+    /// While above 0 it is barred, until the time beside it; after that, one submission at a time may try it.
+    bar: Duration,
+    barred_until: Duration,
 }
 
 struct Appliance {
     line: Line,
+    record: Record,
     out: BTreeMap<(TxnId, Leg), Out>,
-    answers: Fading,
-    fails: Fading,
-    recent: Pace,
-    base: Pace,
     /// Work sent while it may be cold.
     pushed: VecDeque<(Duration, f64)>,
-    barred_until: Duration,
-    bar: Duration,
 }
 
 impl Appliance {
     fn age(&self, now: Duration) -> Option<Duration> {
         self.line.started.map(|s| now.saturating_sub(s))
     }
-    /// Its own pace, drawn to the given one while it has answered little of late.
-    fn pace(&self, now: Duration, base: f64, usual: f64) -> f64 {
-        let prior = 0.2;
-        let took = self.recent.took.read(now, HEALTH_HALF) + prior * base;
-        // Silence counts before any answer does.
-        let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work.max(usual);
+
+    fn barred(&self) -> bool {
+        !self.record.bar.is_zero()
+    }
+
+    /// Its own pace, drawn to the usual one while it has answered little of late. Silence counts before any
+    /// answer does.
+    fn pace(&self, now: Duration, usual_pace: f64, usual_work: f64) -> f64 {
+        let (took, worked) = self.record.recent;
+        let prior = 2.0 * usual_work;
+        let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work.max(usual_work);
         let stalled = self.out.values().map(stall).fold(0.0, f64::max) / 3.0;
-        stalled.max(took / (self.recent.worked.read(now, HEALTH_HALF) + prior))
+        stalled.max((took.read(now, RECENT) + prior * usual_pace) / (worked.read(now, RECENT) + prior))
     }
 
     fn failing(&self, now: Duration) -> f64 {
-        self.fails.read(now, HEALTH_HALF) / (self.answers.read(now, HEALTH_HALF) + 1.0)
+        self.record.fails.read(now, RECENT) / (self.record.answers.read(now, RECENT) + 1.0)
+    }
+
+    /// Leaves it alone for a while, twice as long each time in a row.
+    fn strike(&mut self, now: Duration) {
+        if now >= self.record.barred_until {
+            self.record.bar = (self.record.bar * 2).clamp(RECENT, RECENT * 8);
+            self.record.barred_until = now + self.record.bar;
+        }
     }
 }
 
 /// The appliances that the agent's own list names, and the list's upkeep.
 pub struct Roster {
     zone: Zone,
-    /// The list comes only when asked for.
-    asks: bool,
     ask_within: Duration,
     ask_at: Option<Duration>,
     ask_pause: Duration,
@@ -101,54 +105,37 @@
 }
 
 impl Roster {
-    pub fn new(zone: Zone, asks: bool, ask_within: Duration) -> Self {
-        let ask_pause = ask_within / 20;
-        Roster {
-            zone,
-            asks,
-            ask_within,
-            ask_at: asks.then_some(Duration::ZERO),
-            ask_pause,
-            known: BTreeMap::new(),
-        }
+    /// `ask_within` is given where the list comes only when asked for.
+    pub fn new(zone: Zone, ask_within: Option<Duration>) -> Self {
+        let ask_at = ask_within.map(|_| Duration::ZERO);
+        let ask_within = ask_within.unwrap_or_default();
+        Roster { zone, ask_within, ask_at, ask_pause: ask_within / 20, known: BTreeMap::new() }
     }
 
     fn update(&mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
         if listing == Listing::Failed {
-            // Guards against a lost subscription and against a storm of calls on a service that is down.
-            self.ask_at = self.asks.then_some(now + self.ask_pause);
+            // Guards against a lost subscription, and against a storm of calls on a service that is down.
+            self.ask_at = (!self.ask_within.is_zero()).then_some(now + self.ask_pause);
             self.ask_pause = (self.ask_pause * 2).min(self.ask_within / 4);
             return;
         }
         self.ask_pause = self.ask_within / 20;
-        let mut missing: BTreeSet<ApplianceId> = match listing {
-            Listing::Changes => BTreeSet::new(),
-            _ => self.known.keys().copied().collect(),
-        };
+        let whole = listing != Listing::Changes;
+        let mut missing: BTreeSet<_> = self.known.keys().copied().filter(|_| whole).collect();
         for line in lines {
             missing.remove(&line.appliance);
-            let fresh = || Appliance {
-                line,
-                out: BTreeMap::new(),
-                answers: Fading::default(),
-                fails: Fading::default(),
-                recent: Pace::default(),
-                base: Pace::default(),
-                pushed: VecDeque::new(),
-                barred_until: Duration::ZERO,
-                bar: Duration::ZERO,
+            let fresh = || {
+                let (record, out, pushed) = Default::default();
+                Appliance { line, record, out, pushed }
             };
             let a = self.known.entry(line.appliance).or_insert_with(fresh);
             if a.line.started != line.started || a.line.build != line.build {
-                let (out, pushed) = (std::mem::take(&mut a.out), std::mem::take(&mut a.pushed));
-                *a = Appliance { out, pushed, ..fresh() };
+                a.record = Record::default();
             }
             a.line = line;
         }
         for id in missing {
-            if let Some(a) = self.known.get_mut(&id) {
-                a.line.mode = Mode::Gone;
-            }
+            self.known.entry(id).and_modify(|a| a.line.mode = Mode::Gone);
         }
     }
 
@@ -156,13 +143,20 @@
         self.known.iter().filter(|(_, a)| a.line.mode == Mode::Ready).map(|(&id, a)| (id, a))
     }
 
-    /// Usual time taken for each unit of hinted work, over all appliances that the filter takes.
+    /// Usual time taken for each unit of hinted work, over the appliances that the filter takes.
     fn pace(&self, now: Duration, of: impl Fn(&Appliance) -> bool) -> Option<f64> {
         let sums = self.ready().filter(|(_, a)| of(a)).fold((0.0, 0.0), |(t, w), (_, a)| {
-            (t + a.base.took.read(now, BASE_HALF), w + a.base.worked.read(now, BASE_HALF))
+            (t + a.record.usual.0.read(now, USUAL), w + a.record.usual.1.read(now, USUAL))
         });
         (sums.1 > 0.0).then(|| sums.0 / sums.1)
     }
+
+    /// How far the others that run the same build fail; none if there are no others.
+    fn mates_failing(&self, now: Duration, at: ApplianceId, build: Build) -> Option<f64> {
+        let mates = self.ready().filter(|(id, a)| *id != at && a.line.build == build);
+        let (many, sum) = mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.failing(now)));
+        (many > 0.0).then(|| sum / many)
+    }
 }
 
 /// Keeps cold appliances from being pushed over.
@@ -285,72 +279,77 @@
     }
 }
 
-/// The paper's two-sample test for one product: X at earlier builds, Y at the build on trial.
-#[derive(Clone, Copy)]
+/// Mixing deviation of the test, and the tolerated worsening.
+const TAU: f64 = 0.1;
+const THETA0: f64 = 0.02;
+/// Level of the test, before it is divided among the tests.
+const ALPHA: f64 = 0.05;
+/// Trial outcomes without which a test does not speak.
+const ENOUGH: f64 = 20.0;
+
+/// The paper's two-sample test: X at earlier builds, Y at the build on trial.
 pub struct Test {
+    theta0: f64,
+    tau: f64,
+    alpha: f64,
     x: (f64, f64),
     y: (f64, f64),
+    /// The trial outcomes by appliance.
+    by: BTreeMap<ApplianceId, (f64, f64)>,
     p: f64,
     interval: (f64, f64),
 }
 
-/// Mixing deviation of the test.
-const TAU: f64 = 0.1;
-/// Tolerated worsening.
-const THETA0: f64 = 0.02;
-/// Level of the test, before it is divided among the products.
-const ALPHA: f64 = 0.05;
-/// Trial outcomes without which a product's test does not speak.
-const ENOUGH: f64 = 20.0;
-/// Appliances younger than this are not evidence.
-const YOUNG: Duration = Duration::from_secs(5);
-/// From the newest trial appliance's start to the vote.
-const WAIT: Duration = Duration::from_secs(3);
-/// Longest hold in a stage, under a clock.
-const HOLD: Duration = Duration::from_secs(2);
+impl Test {
+    pub fn new(theta0: f64, tau: f64, alpha: f64) -> Self {
+        let (x, y, by, interval) = ((0.0, 0.0), (0.0, 0.0), BTreeMap::new(), (f64::MIN, f64::MAX));
+        Test { theta0, tau, alpha, x, y, by, p: 1.0, interval }
+    }
 
-impl Default for Test {
-    fn default() -> Self {
-        Test { x: (0.0, 0.0), y: (0.0, 0.0), p: 1.0, interval: (f64::NEG_INFINITY, f64::INFINITY) }
+    pub fn p(&self) -> f64 {
+        self.p
     }
-}
 
-impl Test {
     fn estimate(&self) -> f64 {
         self.y.1 / self.y.0.max(1.0) - self.x.1 / self.x.0.max(1.0)
     }
 
-    pub fn observe(&mut self, trial: bool, score: f64, alpha: f64) {
-        let arm = if trial { &mut self.y } else { &mut self.x };
-        *arm = (arm.0 + 1.0, arm.1 + score);
+    /// Takes an outcome: 0 if good, 1 if bad, and the trial appliance it comes from.
+    pub fn observe(&mut self, trial: Option<ApplianceId>, score: f64) {
+        let add = |arm: &mut (f64, f64)| *arm = (arm.0 + 1.0, arm.1 + score);
+        add(if trial.is_some() { &mut self.y } else { &mut self.x });
+        trial.map(|at| add(self.by.entry(at).or_default()));
         let n = self.x.0.min(self.y.0);
-        if n < 1.0 {
-            return;
-        }
-        let (x, y) = (self.x.1 / self.x.0, self.y.1 / self.y.0);
+        let (x, y) = (self.x.1 / self.x.0.max(1.0), self.y.1 / self.y.0.max(1.0));
         let v = x * (1.0 - x) + y * (1.0 - y);
-        if v <= 0.0 {
+        if n < 1.0 || v <= 0.0 {
             return;
         }
-        let mixed = v + n * TAU * TAU;
-        let spread = 2.0 * v * mixed / (n * n * TAU * TAU);
-        let lambda = (v / mixed).sqrt() * ((y - x - THETA0).powi(2) / spread).exp();
+        let mixed = v + n * self.tau * self.tau;
+        let spread = 2.0 * v * mixed / (n * self.tau).powi(2);
+        let lambda = (v / mixed).sqrt() * ((y - x - self.theta0).powi(2) / spread).exp();
         self.p = self.p.min(1.0 / lambda);
         // The running interval of the paper; when the estimate leaves it, inference begins anew.
-        let half = (spread * ((1.0 / alpha).ln() + 0.5 * (mixed / v).ln())).sqrt();
+        let half = (spread * ((1.0 / self.alpha).ln() + 0.5 * (mixed / v).ln())).sqrt();
         self.interval = (self.interval.0.max(y - x - half), self.interval.1.min(y - x + half));
         if y - x < self.interval.0 || y - x > self.interval.1 {
-            self.p = 1.0;
-            self.interval = Test::default().interval;
+            (self.p, self.interval) = (1.0, (f64::MIN, f64::MAX));
         }
     }
 
-    pub fn p(&self) -> f64 {
-        self.p
+    fn worse(&self, level: f64) -> bool {
+        self.estimate() > self.theta0 && self.p <= level
     }
 
-    fn worse(&self, level: f64) -> bool {
-        self.estimate() > THETA0 && self.y.0 >= ENOUGH && self.p <= level
+    /// Whether the trial is worse also without the appliance that looks worst. Guards against a slow or
+    /// failing machine, or a noisy neighbour, that happens to carry the build: a build is bad wherever it
+    /// runs. It harms where only one machine will ever carry it.
+    fn everywhere(&self) -> bool {
+        let Some(worst) = self.by.values().max_by(|a, b| (a.1 / a.0).total_cmp(&(b.1 / b.0))) else {
+            return false;
+        };
+        let (n, sum) = (self.y.0 - worst.0, self.y.1 - worst.1);
+        n * 4.0 >= ENOUGH && sum / n - self.x.1 / self.x.0.max(1.0) > self.theta0
     }
 }
 
@@ -358,34 +357,53 @@
 pub struct Jury {
     gate: Gate,
     rings: Vec<f64>,
+    dwell: Duration,
     vote_lasts: Duration,
     call_wait: Duration,
+    rolling: bool,
+    products: usize,
+    /// One test for each product, and one of pace over all.
     tests: Vec<Test>,
     judged: Option<Build>,
+    /// The usual pace of each model at earlier builds.
+    paces: BTreeMap<Model, f64>,
     stage_heard: Duration,
     /// The last vote, when it was sent and how it was answered.
-    vote: Option<(Build, Stage, Verdict, Duration, Option<Ending>)>,
+    vote: Option<((Build, Stage, Verdict), Duration, Option<Ending>)>,
 }
 
 impl Jury {
     pub fn new(
-        gate: Gate, rings: Vec<f64>, vote_lasts: Duration, call_wait: Duration, products: usize,
+        gate: Gate, rings: Vec<f64>, dwell: Duration, vote_lasts: Duration, call_wait: Duration,
+        rolling: bool, products: usize,
     ) -> Self {
-        let tests = vec![Test::default(); products];
+        let (tests, judged, paces, stage_heard, vote) = Default::default();
         Jury {
             gate,
             rings,
+            dwell,
             vote_lasts,
             call_wait,
+            rolling,
+            products,
             tests,
-            judged: None,
-            stage_heard: Duration::ZERO,
-            vote: None,
+            judged,
+            paces,
+            stage_heard,
+            vote,
         }
     }
 
     fn level(&self) -> f64 {
-        ALPHA / self.tests.len().max(1) as f64
+        ALPHA / (self.products + 1) as f64
+    }
+
+    fn begin(&mut self, build: Build) {
+        self.judged = Some(build);
+        let level = self.level();
+        self.tests = (0..self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
+        // Pace differs by machine far more than failures do, and what it tells apart is larger.
+        self.tests.push(Test::new(10.0 * THETA0, 3.0 * TAU, level));
     }
 
     fn verdict(&self, now: Duration, roster: &Roster, news: (Build, Stage, Course, f64)) -> Option<Verdict> {
@@ -393,31 +411,35 @@
         if !matches!(course, Course::OnTrial | Course::Released) || self.judged != Some(build) {
             return None;
         }
-        if self.tests.iter().any(|t| t.worse(self.level())) {
+        if self.tests.iter().any(|t| t.y.0 >= ENOUGH && t.worse(self.level()) && t.everywhere()) {
             return Some(Verdict::Back);
         }
         if course != Course::OnTrial {
             return None;
         }
+        let doubt = self.tests.iter().any(|t| t.worse(10.0 * self.level()));
+        let hold = self.dwell * 4 / 3;
         if self.gate == Gate::Clocked {
-            let doubt = |t: &Test| t.estimate() > THETA0 && t.y.0 > 0.0 && t.p < 10.0 * self.level();
-            return (self.tests.iter().any(doubt) && now < self.stage_heard + HOLD).then_some(Verdict::Hold);
+            return (doubt && now < self.stage_heard + hold).then_some(Verdict::Hold);
         }
         let ring = self.rings.get(usize::from(stage.0)).copied().unwrap_or(1.0);
-        let places = roster.ready().count() as f64;
-        let trial: Vec<_> = roster.ready().filter(|(_, a)| a.line.build == build).collect();
+        let (trial, early): (Vec<_>, Vec<_>) = roster.ready().partition(|(_, a)| a.line.build == build);
+        let places = early.len() + if self.rolling { trial.len() } else { 0 };
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max()?;
         // The list runs late: a stage whose machines it does not show yet has not begun to wait.
-        let shown = trial.len() as f64 + 1.0 > ring * places;
-        (shown && now >= newest + WAIT && now >= self.stage_heard + WAIT / 2).then_some(Verdict::On)
+        let shown =
+            trial.len() as f64 + 0.5 >= ring * places as f64 || now >= self.stage_heard + self.dwell * 6;
+        let wait = self.dwell * 5 / 2 + if doubt { hold } else { Duration::ZERO };
+        (shown && now >= newest + wait && now >= self.stage_heard + wait / 2).then_some(Verdict::On)
     }
 
     fn round(
         &mut self, now: Duration, roster: &Roster, news: (Build, Stage, Course, f64), out: &mut dyn Decisions,
     ) {
         let Some(verdict) = self.verdict(now, roster, news) else { return };
-        if let Some((b, s, v, sent, answer)) = self.vote
-            && (b, s, v) == (news.0, news.1, verdict)
+        let ballot = (news.0, news.1, verdict);
+        if let Some((last, sent, answer)) = self.vote
+            && last == ballot
         {
             let again = match answer {
                 Some(Ending::Served) => self.vote_lasts * 4 / 5,
@@ -428,28 +450,32 @@
                 return;
             }
         } else {
-            let est: Vec<_> =
-                self.tests.iter().map(|t| format!("{:.0}:{:+.2}", t.y.0, t.estimate())).collect();
+            let line = |t: &Test| format!("{:.0}:{:+.2} p{:.3}", t.y.0, t.estimate(), t.p);
+            let tests: Vec<_> = self.tests.iter().map(line).collect();
             out.log(&format!(
                 "vote {verdict:?} on build {} stage {} [{}]",
                 news.0.0,
                 news.1.0,
-                est.join(" ")
+                tests.join(" ")
             ));
         }
-        self.vote = Some((news.0, news.1, verdict, now, None));
+        self.vote = Some((ballot, now, None));
         out.vote(news.0, news.1, verdict);
     }
 }
 
 struct Submission {
     to: ApplianceId,
+    build: Build,
     sent: Duration,
     ending: Option<Ending>,
+    called_off: bool,
 }
 
 struct Held {
     txn: Txn,
+    terms: Terms,
+    work: f64,
     arrived: Duration,
     legs: Vec<Submission>,
     /// The first submission that may have run: when it was sent, and the group that drops its repeats.
@@ -457,9 +483,29 @@
 }
 
 impl Held {
-    fn out(&self) -> usize {
-        self.legs.iter().filter(|l| l.ending.is_none()).count()
+    fn out(&self) -> impl Iterator<Item = (Leg, &Submission)> {
+        self.legs.iter().enumerate().filter(|(_, l)| l.ending.is_none()).map(|(i, l)| (Leg(i as u8), l))
     }
+
+    /// Whether the rules let one more submission go out, to an appliance of the right group.
+    fn resendable(&self, now: Duration) -> bool {
+        match (self.terms.repeat, self.risk) {
+            (_, None) | (Repeat::InquiryLike, _) => true,
+            (Repeat::Referenced(_), Some((first, ..))) => now < first + self.terms.remembered,
+            (Repeat::OnceOnly, Some(_)) => false,
+        }
+    }
+}
+
+/// What txns ask of the fleet, and what of it was served.
+#[derive(Default)]
+struct Demand {
+    hints: BTreeMap<Product, (Fading, Fading)>,
+    /// Served work, and listed weight x time: what a unit of weight is seen to bear.
+    served: Fading,
+    weight: Fading,
+    taken: Fading,
+    second: Fading,
 }
 
 /// The txns in hand, and what is agreed for them.
@@ -467,49 +513,19 @@
     products: Vec<Terms>,
     max_submissions: usize,
     second_copies: bool,
+    may_call_off: bool,
     longest_advice: Duration,
     tick: Duration,
     held: BTreeMap<TxnId, Held>,
-    /// Work that was served, and listed weight x time: what a unit of weight is seen to bear.
-    served: Fading,
-    weight: Fading,
-    hints: Vec<(Fading, Fading)>,
-    second: Fading,
-    taken: Fading,
 }
 
 impl Desk {
     pub fn new(
-        products: Vec<Terms>, max_submissions: usize, second_copies: bool, longest_advice: Duration,
-        tick: Duration,
+        products: Vec<Terms>, max_submissions: usize, second_copies: bool, may_call_off: bool,
+        longest_advice: Duration, tick: Duration,
     ) -> Self {
-        let hints = vec![<(Fading, Fading)>::default(); products.len()];
-        let (held, served, weight) = (BTreeMap::new(), Fading::default(), Fading::default());
-        let (second, taken) = (Fading::default(), Fading::default());
-        Desk {
-            products,
-            max_submissions,
-            second_copies,
-            longest_advice,
-            tick,
-            held,
-            served,
-            weight,
-            hints,
-            second,
-            taken,
-        }
-    }
-
-    /// Mean hinted work of a product, in seconds.
-    fn typical(&self, now: Duration, p: Product) -> f64 {
-        let Some((work, many)) = self.hints.get(usize::from(p.0)) else { return 0.0 };
-        let many = many.read(now, DEMAND_HALF);
-        if many > 0.0 { work.read(now, DEMAND_HALF) / many } else { 0.0 }
-    }
-
-    fn terms(&self, p: Product) -> Option<Terms> {
-        self.products.get(usize::from(p.0)).copied()
+        let held = BTreeMap::new();
+        Desk { products, max_submissions, second_copies, may_call_off, longest_advice, tick, held }
     }
 }
 
@@ -522,9 +538,10 @@
     exposure: Exposure,
     jury: Jury,
     desk: Desk,
+    demand: Demand,
     wake_at: Duration,
     /// Time for a unit of hinted work: long-run mean of all appliances, and the middle appliance's now.
-    base_pace: f64,
+    usual_pace: f64,
     middle_pace: f64,
     usual_work: f64,
 }
@@ -532,8 +549,8 @@
 impl Brain {
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
-        let (now, wake_at, begun) = (Duration::ZERO, Duration::ZERO, false);
-        let (base_pace, middle_pace, usual_work) = (1.0, 1.0, 1e-3);
+        let (now, wake_at, begun, demand) = Default::default();
+        let (usual_pace, middle_pace, usual_work) = (1.0, 1.0, 1e-3);
         Brain {
             now,
             begun,
@@ -543,8 +560,9 @@
             exposure,
             jury,
             desk,
+            demand,
             wake_at,
-            base_pace,
+            usual_pace,
             middle_pace,
             usual_work,
         }
@@ -553,25 +571,15 @@
     /// Hears all that came in, then decides.
     pub fn round(&mut self, now: Duration, intake: impl FnOnce(&mut dyn Hears), out: &mut dyn Decisions) {
         let passed = now.saturating_sub(std::mem::replace(&mut self.now, now));
-        if !self.begun {
-            self.begun = true;
+        if !std::mem::replace(&mut self.begun, true) {
             self.exposure.started = Some(now);
         }
         self.exposure.trim(now);
         intake(self);
-        if self.roster.ask_at.is_some_and(|t| t <= now) {
-            self.roster.ask_at = None;
+        if self.roster.ask_at.take_if(|t| *t <= now).is_some() {
             out.watch_roster(true);
         }
-        let weight: f64 = self.roster.ready().map(|(_, a)| f64::from(a.line.weight)).sum();
-        self.desk.weight.add(now, BASE_HALF, weight * passed.as_secs_f64());
-        self.base_pace = self.roster.pace(now, |_| true).unwrap_or(1.0);
-        let products = (0..self.desk.products.len()).map(|p| self.desk.typical(now, Product(p as u8)));
-        self.usual_work = products.fold(1e-3, f64::max);
-        let mut paces: Vec<f64> =
-            self.roster.ready().map(|(_, a)| a.pace(now, self.base_pace, self.usual_work)).collect();
-        paces.sort_by(f64::total_cmp);
-        self.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.base_pace);
+        self.take_stock(passed);
         let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
         order.sort();
         for (_, id) in order {
@@ -587,31 +595,68 @@
         }
     }
 
+    fn take_stock(&mut self, passed: Duration) {
+        let now = self.now;
+        let weight: f64 = self.roster.ready().map(|(_, a)| f64::from(a.line.weight)).sum();
+        self.demand.weight.add(now, USUAL, weight * passed.as_secs_f64());
+        self.usual_pace = self.roster.pace(now, |_| true).unwrap_or(1.0);
+        let sums = self.demand.hints.values().map(|h| (h.0.read(now, USUAL), h.1.read(now, USUAL)));
+        let sums = sums.fold((1e-9, 1e-6), |(w, n), (work, many)| (w + work, n + many));
+        self.usual_work = sums.0 / sums.1;
+        let pace = |a: &Appliance| a.pace(now, self.usual_pace, self.usual_work);
+        let mut paces: Vec<f64> = self.roster.ready().map(|(_, a)| pace(a)).collect();
+        paces.sort_by(f64::total_cmp);
+        self.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.usual_pace);
+        for (_, a) in self.roster.ready().filter(|(_, a)| self.jury.judged.is_some_and(|b| a.line.build < b))
+        {
+            let same = |m: &Appliance| m.line.model == a.line.model && m.line.build <= a.line.build;
+            if let Some(pace) = self.roster.pace(now, same) {
+                self.jury.paces.insert(a.line.model, pace);
+            }
+        }
+        // Silence: several submissions wait far longer than usual and nothing came since the oldest was sent.
+        // Guards against a machine that vanished, froze or was cut off, long before the list tells.
+        let patience = Duration::from_secs_f64((6.0 * self.middle_pace * self.usual_work).clamp(0.0, 60.0));
+        for a in self.roster.known.values_mut() {
+            let oldest = a.out.values().map(|o| o.sent).min();
+            if a.out.len() > 1 && oldest.is_some_and(|o| now > o + patience && a.record.heard < o) {
+                a.strike(now);
+            }
+        }
+    }
+
     fn attend(&mut self, id: TxnId, out: &mut dyn Decisions) {
         let now = self.now;
-        let Some(h) = self.desk.held.get(&id) else { return };
-        let Some(terms) = self.desk.terms(h.txn.product) else { return };
+        let Some(h) = self.desk.held.get_mut(&id) else { return };
         let left = h.txn.expiry.saturating_sub(now);
-        let sla_left = (h.arrived + terms.sla).saturating_sub(now);
-        if h.out() > 0 {
-            if self.overdue(h, &terms) && sla_left > Duration::ZERO && left > self.desk.tick * 4 {
-                let spare =
-                    0.1 * self.desk.taken.read(now, DEMAND_HALF) - self.desk.second.read(now, DEMAND_HALF);
-                if self.desk.second_copies && spare > 0.0 && self.resendable(h, &terms) {
-                    if let Some(to) = self.choose(id) {
-                        self.desk.second.add(now, DEMAND_HALF, 1.0);
-                        self.submit(id, to, out);
-                    }
-                }
+        let sla_left = (h.arrived + h.terms.sla).saturating_sub(now);
+        let more = h.legs.len() < self.desk.max_submissions && h.resendable(now) && left > self.desk.tick * 4;
+        let waiting = h.out().next().map(|(leg, l)| (leg, l.to, l.sent, l.called_off));
+        if let Some((leg, to, sent, called_off)) = waiting {
+            let usual =
+                Duration::from_secs_f64((3.0 * self.middle_pace * h.work).min(60.0)).max(h.terms.sla / 4);
+            let silent = self.roster.known.get(&to).is_some_and(|a| a.barred() && a.record.heard < sent);
+            if !more || sla_left.is_zero() || h.out().count() > 1 || now < sent + usual {
+                return;
+            }
+            let second = self.desk.second_copies;
+            let spare = 0.1 * self.demand.taken.read(now, USUAL) - self.demand.second.read(now, USUAL);
+            if !second && self.desk.may_call_off && silent && !called_off {
+                h.legs[usize::from(leg.0)].called_off = true;
+                out.call_off(id, leg);
+            }
+            if second
+                && (silent || spare > 1.0)
+                && let Some(to) = self.choose(id)
+            {
+                self.demand.second.add(now, USUAL, 1.0);
+                self.submit(id, to, out);
             }
             return;
         }
-        let hopeless = sla_left.is_zero() && terms.late_share <= 0.0;
-        if left <= self.desk.tick * 4 || hopeless || !self.resendable(h, &terms) {
-            return self.give_up(id, out);
-        }
-        let (product, first) = (h.txn.product, h.legs.is_empty());
-        if first && self.crowded(product, &terms, sla_left) {
+        let hopeless = sla_left.is_zero() && h.terms.late_share <= 0.0;
+        let (product, terms, first) = (h.txn.product, h.terms, h.legs.is_empty());
+        if !more || hopeless || (first && self.crowded(product, &terms, sla_left)) {
             return self.give_up(id, out);
         }
         if let Some(to) = self.choose(id) {
@@ -619,51 +664,29 @@
         }
     }
 
-    /// Whether the rules let one more submission of this txn go out, to the right appliance.
-    fn resendable(&self, h: &Held, terms: &Terms) -> bool {
-        if h.legs.len() >= self.desk.max_submissions {
-            return false;
-        }
-        match (terms.repeat, h.risk) {
-            (_, None) | (Repeat::InquiryLike, _) => true,
-            (Repeat::Referenced(_), Some((first, ..))) => self.now < first + terms.remembered,
-            (Repeat::OnceOnly, Some(_)) => false,
-        }
-    }
-
-    /// Whether the submissions out have taken far longer than their appliances usually need.
-    fn overdue(&self, h: &Held, terms: &Terms) -> bool {
-        let pace = self.middle_pace;
-        let usual = Duration::from_secs_f64((3.0 * pace * self.work(&h.txn)).min(1e3));
-        let late = usual.max(terms.sla / 4);
-        h.out() == 1 && h.legs.iter().all(|l| l.ending.is_some() || self.now >= l.sent + late)
-    }
-
     /// Whether the middle appliance answers so slowly that this product would be late: the less it earns, the
     /// sooner. Guards against queues everywhere (bursts, mass crashes, shared slowdowns). One sick appliance
     /// does not move the middle, and with no fresh answers the pace goes back to its long-run mean, so that
     /// declines end by themselves. It harms if SLA times are tighter than an idle appliance can keep.
     fn crowded(&mut self, product: Product, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
-        let expected = self.middle_pace * self.desk.typical(self.now, product);
+        let expected = self.middle_pace * self.typical(product);
         let pressure = expected / sla_left.as_secs_f64().max(1e-6);
-        let from = 0.4 + 0.3 * terms.revenue / most;
-        self.chance.random::<f64>() < (pressure - from) / 0.3
+        let from = 0.3 + 0.3 * terms.revenue / most;
+        self.chance.random::<f64>() < (pressure - from) / 0.6
     }
 
-    fn work(&self, txn: &Txn) -> f64 {
-        let typical = self.desk.typical(self.now, txn.product);
-        txn.hint.map_or(typical, |h| h.as_secs_f64()).max(1e-4)
+    /// Mean hinted work of a product, in seconds.
+    fn typical(&self, p: Product) -> f64 {
+        let Some((work, many)) = self.demand.hints.get(&p) else { return self.usual_work };
+        work.read(self.now, USUAL) / many.read(self.now, USUAL).max(1e-9)
     }
 
     fn give_up(&mut self, id: TxnId, out: &mut dyn Decisions) {
         let Some(h) = self.desk.held.remove(&id) else { return };
-        let terms = self.desk.terms(h.txn.product);
-        let repeat = terms.map(|t| t.repeat);
-        let safe = matches!(repeat, Some(Repeat::InquiryLike | Repeat::Referenced(Group::All)));
+        let safe = matches!(h.terms.repeat, Repeat::InquiryLike | Repeat::Referenced(Group::All));
         if safe || h.risk.is_none() {
-            let advice = terms.map_or(Duration::ZERO, |t| t.sla / 4).min(self.desk.longest_advice);
-            out.decline(id, advice);
+            out.decline(id, (h.terms.sla / 4).min(self.desk.longest_advice));
         } else {
             out.void(id);
         }
@@ -673,38 +696,40 @@
     fn choose(&mut self, id: TxnId) -> Option<ApplianceId> {
         let now = self.now;
         let h = self.desk.held.get(&id)?;
-        let terms = self.desk.terms(h.txn.product)?;
-        let work = self.work(&h.txn);
-        // What the fleet was seen to bear, for each unit of weight.
-        let weight = self.desk.weight.read(now, BASE_HALF);
-        let fair = self.desk.served.read(now, BASE_HALF) / weight.max(1e-9);
+        let fair = self.demand.served.read(now, USUAL) / self.demand.weight.read(now, USUAL).max(1e-9);
+        // When most are barred the trouble is not theirs: then bars mean nothing.
+        let (sick, all) =
+            self.roster.ready().fold((0, 0), |(s, n), (_, a)| (s + usize::from(a.barred()), n + 1));
+        let panic = 2 * sick > all;
         let mut arms: [Vec<(ApplianceId, f64, f64)>; 2] = Default::default();
         let mut listed = [0.0; 2];
         let mut permitted = BTreeMap::new();
         for (aid, a) in self.roster.ready() {
             let weight = f64::from(a.line.weight) * self.thaw.warmth(a.age(now));
             let arm = usize::from(self.exposure.bound(a.line.build).is_some());
-            let in_group = match (terms.repeat, h.risk) {
+            let in_group = match (h.terms.repeat, h.risk) {
                 (Repeat::Referenced(Group::Zone), Some((_, zone, _))) => a.line.zone == zone,
                 (Repeat::Referenced(Group::Cell), Some((.., cell))) => a.line.cell == cell,
                 _ => true,
             };
-            let may = || self.exposure.permits(now, a.line.build, h.txn.product, terms.repeat, h.txn.mark);
-            let out_there = h.legs.iter().any(|l| l.to == aid && l.ending.is_none());
+            let may = || self.exposure.permits(now, a.line.build, h.txn.product, h.terms.repeat, h.txn.mark);
+            let parole =
+                now >= a.record.barred_until && a.out.is_empty() && h.terms.repeat != Repeat::OnceOnly;
             if !in_group
-                || out_there
+                || h.out().any(|(_, l)| l.to == aid)
+                || (a.barred() && !panic && !parole)
                 || !*permitted.entry(a.line.build).or_insert_with(may)
-                || !self.thaw.bears(now, a, fair * f64::from(a.line.weight), work)
+                || !self.thaw.bears(now, a, fair * f64::from(a.line.weight), h.work)
             {
                 continue;
             }
-            let tried = h.legs.iter().any(|l| l.to == aid);
-            let barred = now < a.barred_until;
-            listed[arm] += if barred { 0.0 } else { weight };
-            let odds = weight * if tried { 0.01 } else { 1.0 } * if barred { 1e-4 } else { 1.0 };
+            listed[arm] += weight;
+            let odds = weight * if h.legs.iter().any(|l| l.to == aid) { 0.01 } else { 1.0 };
             arms[arm].push((aid, odds, self.cost(a)));
         }
-        let share = listed[1] / (listed[0] + listed[1]).max(1e-9);
+        // A txn that the trial build has failed is better served by an earlier one.
+        let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
+        let share = if failed_there { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
         let arm = usize::from(self.chance.random::<f64>() < share);
         let arm = if arms[arm].is_empty() { 1 - arm } else { arm };
         let sum: f64 = arms[arm].iter().map(|c| c.1).sum();
@@ -720,61 +745,65 @@
         Some(if two.2 < one.2 { two.0 } else { one.0 })
     }
 
-    /// What a txn may expect to wait there, relative to others of the same build.
+    /// What a txn may expect to wait there, against the others.
     fn cost(&self, a: &Appliance) -> f64 {
-        let now = self.now;
-        let pace = a.pace(now, self.base_pace, self.usual_work);
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 1.3 };
-        pace * (1.0 + a.out.len() as f64) * across
-            / (1.0 - 0.9 * a.failing(now))
-            / f64::from(a.line.weight).max(1e-3)
+        let pace = a.pace(self.now, self.usual_pace, self.usual_work) / (1.0 - 0.9 * a.failing(self.now));
+        pace * (1.0 + a.out.len() as f64) * across / f64::from(a.line.weight).max(1e-3)
     }
 
     /// The one place that every submission passes.
     fn submit(&mut self, id: TxnId, to: ApplianceId, out: &mut dyn Decisions) {
         let now = self.now;
-        let (Some(h), Some(a)) = (self.desk.held.get(&id), self.roster.known.get(&to)) else { return };
-        let (txn, build) = (h.txn, a.line.build);
-        let work = self.work(&txn);
-        let Some(terms) = self.desk.terms(txn.product) else { return };
+        let (Some(h), Some(a)) = (self.desk.held.get_mut(&id), self.roster.known.get_mut(&to)) else {
+            return;
+        };
+        let (txn, build, work) = (h.txn, a.line.build, h.work);
         if a.line.mode != Mode::Ready
-            || !self.resendable(h, &terms)
-            || !self.exposure.permits(now, build, txn.product, terms.repeat, txn.mark)
+            || !h.resendable(now)
+            || !self.exposure.permits(now, build, txn.product, h.terms.repeat, txn.mark)
         {
             return;
         }
         if self.exposure.bound(build).is_some() {
             self.exposure.sent.push_back((now, txn.product, build));
         }
-        let (Some(h), Some(a)) = (self.desk.held.get_mut(&id), self.roster.known.get_mut(&to)) else {
-            return;
-        };
         self.thaw.note(now, a, work);
         let leg = Leg(h.legs.len() as u8);
-        let young = a.age(now).is_some_and(|age| age < YOUNG);
-        a.out.insert((id, leg), Out { sent: now, work, product: txn.product, build, young });
-        h.legs.push(Submission { to, sent: now, ending: None });
+        let young = self.jury.judged.is_some_and(|b| build >= b) && a.age(now) < Some(self.thaw.ramp * 9 / 8);
+        let mute = (young && a.line.started.is_some()) || a.barred();
+        a.out.insert((id, leg), Out { sent: now, work, product: txn.product, build, mute });
+        h.legs.push(Submission { to, build, sent: now, ending: None, called_off: false });
         // Until it is proved not to have run, it may have: the group and window of a repeat are fixed by it.
         h.risk = h.risk.or(Some((now, a.line.zone, a.line.cell)));
         out.submit(id, to, Duration::ZERO);
     }
 
-    fn judge(&mut self, o: &Out, ending: Ending, took: Duration) {
-        let Some(terms) = self.desk.terms(o.product) else { return };
+    /// Hands an outcome to the tests. What is no answer at all counts only if the appliance answered others
+    /// since: a machine that died, froze or was cut off says nothing of its build.
+    fn judge(&mut self, at: ApplianceId, o: &Out, ending: Ending, took: Duration, alive: bool) {
+        let Some(terms) = self.desk.products.get(usize::from(o.product.0)) else { return };
         let slow = took > terms.sla * 2;
         let score = match ending {
-            Ending::Unsent | Ending::Unconnected => return,
-            Ending::CalledOff if !slow => return,
             Ending::Served => f64::from(u8::from(slow)),
-            _ => 1.0,
+            Ending::Failed | Ending::TurnedAway => 1.0,
+            Ending::TimedOut if alive && slow => 1.0,
+            Ending::CalledOff if alive && slow => 1.0,
+            _ => return,
         };
-        let trial = self.jury.judged.is_some_and(|b| o.build >= b);
-        if o.young && trial {
+        let trial = self.jury.judged.is_some_and(|b| o.build >= b).then_some(at);
+        if o.mute || self.jury.tests.is_empty() {
             return;
         }
-        let level = self.jury.level();
         if let Some(test) = self.jury.tests.get_mut(usize::from(o.product.0)) {
-            test.observe(trial, score, level);
+            test.observe(trial, score);
+        }
+        // A build that needs more work seldom passes twice the SLA time: against the same model's usual time
+        // at earlier builds, for work between the rough hint and the usual, half as much again counts as bad.
+        let model = self.roster.known.get(&at).and_then(|a| self.jury.paces.get(&a.line.model));
+        if let (Some(pace), Some(test), Ending::Served) = (model, self.jury.tests.last_mut(), ending) {
+            let late = took.as_secs_f64() > 1.5 * pace * (o.work + self.usual_work) / 2.0;
+            test.observe(trial, f64::from(u8::from(late)));
         }
     }
 }
@@ -782,53 +811,63 @@
 impl Hears for Brain {
     fn txn(&mut self, id: TxnId, txn: Txn) {
         let now = self.now;
+        let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
         self.exposure.taken.push_back((now, txn.product));
-        self.desk.taken.add(now, DEMAND_HALF, 1.0);
-        if let (Some(hint), Some(sums)) = (txn.hint, self.desk.hints.get_mut(usize::from(txn.product.0))) {
-            sums.0.add(now, DEMAND_HALF, hint.as_secs_f64());
-            sums.1.add(now, DEMAND_HALF, 1.0);
+        self.demand.taken.add(now, USUAL, 1.0);
+        if let Some(hint) = txn.hint {
+            let sums = self.demand.hints.entry(txn.product).or_default();
+            sums.0.add(now, USUAL, hint.as_secs_f64());
+            sums.1.add(now, USUAL, 1.0);
         }
-        self.desk.held.insert(id, Held { txn, arrived: now, legs: Vec::new(), risk: None });
+        let work = txn.hint.map_or_else(|| self.typical(txn.product), |h| h.as_secs_f64()).max(1e-4);
+        self.desk.held.insert(id, Held { txn, terms, work, arrived: now, legs: Vec::new(), risk: None });
     }
 
     fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
         let now = self.now;
-        let mates_fail = {
-            let build = self.roster.known.get(&at).map(|a| a.line.build);
-            let mates = self.roster.ready().filter(|(id, a)| *id != at && Some(a.line.build) == build);
-            let (many, sum) = mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.failing(now)));
-            (many > 0.0).then(|| sum / many)
-        };
-        let mut gone = None;
         if let Some(a) = self.roster.known.get_mut(&at)
             && let Some(o) = a.out.remove(&(id, leg))
         {
-            let fail = !matches!(ending, Ending::Served | Ending::CalledOff | Ending::Unsent);
-            if ending != Ending::Unsent {
-                a.answers.add(now, HEALTH_HALF, 1.0);
-                a.fails.add(now, HEALTH_HALF, f64::from(u8::from(fail)));
+            let alive = a.record.heard > o.sent;
+            let build = a.line.build;
+            match ending {
+                Ending::Served => {
+                    let r = &mut a.record;
+                    for (sums, half) in [(&mut r.recent, RECENT), (&mut r.usual, USUAL)] {
+                        sums.0.add(now, half, took.as_secs_f64());
+                        sums.1.add(now, half, o.work);
+                    }
+                    self.demand.served.add(now, USUAL, o.work);
+                    if now >= r.barred_until {
+                        r.bar = Duration::ZERO;
+                    }
+                }
+                Ending::Unconnected | Ending::Broken => a.strike(now),
+                _ => {}
             }
-            if ending == Ending::Served {
-                a.recent.add(now, HEALTH_HALF, took, o.work);
-                a.base.add(now, BASE_HALF, took, o.work);
-                self.desk.served.add(now, BASE_HALF, o.work);
+            if !matches!(ending, Ending::TimedOut | Ending::CalledOff | Ending::Unconnected | Ending::Unsent)
+            {
+                a.record.heard = now;
             }
-            // An appliance that fails far more than others of its build is left alone for a while, longer each
-            // time. A build as a whole is never barred: its failures are the test's evidence.
-            if fail && mates_fail.is_some_and(|m| a.failing(now) > m + 0.3) && now >= a.barred_until {
-                a.bar = (a.bar * 2).clamp(HEALTH_HALF / 2, HEALTH_HALF * 2);
-                a.barred_until = now + a.bar;
-            } else if ending == Ending::Served && now >= a.barred_until {
-                a.bar = Duration::ZERO;
+            if !matches!(ending, Ending::CalledOff | Ending::Unsent) {
+                a.record.answers.add(now, RECENT, 1.0);
+                a.record.fails.add(now, RECENT, f64::from(u8::from(ending != Ending::Served)));
             }
-            gone = Some(o);
-        }
-        if let Some(o) = gone {
-            self.judge(&o, ending, took);
+            // An appliance that fails far more than others of its build is left alone for a while. A build as
+            // a whole is never barred: its failures are the test's evidence.
+            let fails = a.failing(now);
+            let mates = self.roster.mates_failing(now, at, build);
+            if ending != Ending::Served
+                && mates.is_some_and(|m| fails > m + 0.3)
+                && let Some(a) = self.roster.known.get_mut(&at)
+            {
+                a.strike(now);
+            }
+            self.judge(at, &o, ending, took, alive);
             if ending == Ending::Served
+                && self.exposure.forward_only
                 && self.exposure.news.is_some_and(|(b, ..)| o.build == b)
                 && let Some(mark) = self.desk.held.get(&id).and_then(|h| h.txn.mark)
-                && self.exposure.forward_only
             {
                 self.exposure.answered.insert(mark);
             }
@@ -839,12 +878,11 @@
             if let Some(l) = h.legs.get_mut(usize::from(leg.0)) {
                 l.ending = Some(ending);
             }
-            let ran = |l: &&Submission| {
-                !matches!(l.ending, Some(Ending::TurnedAway | Ending::Unconnected | Ending::Unsent))
-            };
-            let first = h.legs.iter().find(ran).map(|l| (l.sent, l.to));
-            h.risk = first
-                .and_then(|(sent, to)| self.roster.known.get(&to).map(|a| (sent, a.line.zone, a.line.cell)));
+            let unrun = [Some(Ending::TurnedAway), Some(Ending::Unconnected), Some(Ending::Unsent)];
+            let first = h.legs.iter().find(|l| !unrun.contains(&l.ending));
+            let line =
+                first.and_then(|l| self.roster.known.get(&l.to).map(|a| (l.sent, a.line.zone, a.line.cell)));
+            h.risk = line;
         }
     }
 
@@ -868,25 +906,25 @@
     fn peer(&mut self, _: AgentId, _: &[u8]) {}
 
     fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration) {
-        if self.exposure.news.is_some_and(|(b, ..)| build < b) {
+        let known = self.exposure.news.map(|(b, s, ..)| (b, s));
+        if known.is_some_and(|(b, _)| build < b) {
             return;
         }
-        if self.exposure.news.is_none_or(|(b, s, ..)| (b, s) != (build, stage)) {
+        if known != Some((build, stage)) {
             self.jury.stage_heard = self.now.saturating_sub(age);
         }
-        if self.exposure.news.is_none_or(|(b, ..)| b != build) {
+        if known.is_none_or(|(b, _)| b != build) {
             self.exposure.answered.clear();
         }
         if course == Course::OnTrial && self.jury.judged != Some(build) {
-            self.jury.judged = Some(build);
-            self.jury.tests.fill(Test::default());
+            self.jury.begin(build);
         }
         self.exposure.news = Some((build, stage, course, cap));
     }
 
     fn vote_answered(&mut self, ending: Ending) {
         if let Some(vote) = &mut self.jury.vote {
-            vote.4 = Some(ending);
+            vote.2 = Some(ending);
         }
     }
 
@@ -896,7 +934,7 @@
         let sent = self.now.saturating_sub(sent_ago);
         let Some(a) = self.roster.known.get(&at) else { return };
         let trial = self.jury.judged.is_some_and(|b| a.line.build >= b);
-        let young = a.line.started.is_some_and(|s| sent < s + YOUNG);
+        let young = a.line.started.is_some_and(|s| sent < s + self.thaw.ramp * 9 / 8);
         let Some(test) = self.jury.tests.get_mut(usize::from(product.0)) else { return };
         let arm = if trial { &mut test.y } else { &mut test.x };
         // The outcome it names was counted as good.
