Resend what was overtaken; only errors, and slowness while not crowded, are evidence

Cause of all three incidents: good builds sent back on time-outs, full queues and slowness that a restart, a burst or lost messages caused.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,7 +49,9 @@
     /// Time taken and hinted work of served submissions: of late, and in the long run.
     recent: (Fading, Fading),
     usual: (Fading, Fading),
+    /// Its last sign of life, and when the latest of the submissions it has answered was sent.
     heard: Duration,
+    passed: Duration,
     /// While above 0 it is barred, until the time beside it; after that, one submission at a time may try it.
     bar: Duration,
     barred_until: Duration,
@@ -73,15 +75,22 @@
     }
 
     /// Its own pace, drawn to the usual one while it has answered little of late. Silence counts before any
-    /// answer does.
+    /// answer does, unless what was sent later has come back.
     fn pace(&self, now: Duration, usual_pace: f64, usual_work: f64) -> f64 {
         let (took, worked) = self.record.recent;
         let prior = 2.0 * usual_work;
         let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work.max(usual_work);
-        let stalled = self.out.values().map(stall).fold(0.0, f64::max) / 3.0;
+        let fresh = self.out.values().filter(|o| o.sent > self.record.passed);
+        let stalled = fresh.map(stall).fold(0.0, f64::max) / 3.0;
         stalled.max((took.read(now, RECENT) + prior * usual_pace) / (worked.read(now, RECENT) + prior))
     }
 
+    /// Its own pace in the long run, drawn to that of all while it is little known.
+    fn usual_pace(&self, now: Duration, all: f64) -> f64 {
+        let (took, worked) = self.record.usual;
+        ((took.read(now, USUAL) + all) / (worked.read(now, USUAL) + 1.0)).max(1e-3)
+    }
+
     fn failing(&self, now: Duration) -> f64 {
         self.record.fails.read(now, RECENT) / (self.record.answers.read(now, RECENT) + 1.0)
     }
@@ -318,7 +327,9 @@
     pub fn observe(&mut self, trial: Option<ApplianceId>, score: f64) {
         let add = |arm: &mut (f64, f64)| *arm = (arm.0 + 1.0, arm.1 + score);
         add(if trial.is_some() { &mut self.y } else { &mut self.x });
-        trial.map(|at| add(self.by.entry(at).or_default()));
+        if let Some(at) = trial {
+            add(self.by.entry(at).or_default());
+        }
         let n = self.x.0.min(self.y.0);
         let (x, y) = (self.x.1 / self.x.0.max(1.0), self.y.1 / self.y.0.max(1.0));
         let v = x * (1.0 - x) + y * (1.0 - y);
@@ -353,6 +364,8 @@
     }
 }
 
+type Ballot = (Build, Stage, Verdict);
+
 /// Judges builds and votes.
 pub struct Jury {
     gate: Gate,
@@ -365,11 +378,13 @@
     /// One test for each product, and one of pace over all.
     tests: Vec<Test>,
     judged: Option<Build>,
+    /// Outcomes at earlier builds of late.
+    beside: Fading,
     /// The usual pace of each model at earlier builds.
     paces: BTreeMap<Model, f64>,
     stage_heard: Duration,
     /// The last vote, when it was sent and how it was answered.
-    vote: Option<((Build, Stage, Verdict), Duration, Option<Ending>)>,
+    vote: Option<(Ballot, Duration, Option<Ending>)>,
 }
 
 impl Jury {
@@ -377,7 +392,7 @@
         gate: Gate, rings: Vec<f64>, dwell: Duration, vote_lasts: Duration, call_wait: Duration,
         rolling: bool, products: usize,
     ) -> Self {
-        let (tests, judged, paces, stage_heard, vote) = Default::default();
+        let (tests, judged, beside, paces, stage_heard, vote) = Default::default();
         Jury {
             gate,
             rings,
@@ -388,6 +403,7 @@
             products,
             tests,
             judged,
+            beside,
             paces,
             stage_heard,
             vote,
@@ -544,6 +560,8 @@
     usual_pace: f64,
     middle_pace: f64,
     usual_work: f64,
+    /// The middle appliance's time for a usual txn as a share of the SLA time, for the tightest product.
+    pressure: f64,
 }
 
 impl Brain {
@@ -565,6 +583,7 @@
             usual_pace,
             middle_pace,
             usual_work,
+            pressure: 0.0,
         }
     }
 
@@ -607,6 +626,9 @@
         let mut paces: Vec<f64> = self.roster.ready().map(|(_, a)| pace(a)).collect();
         paces.sort_by(f64::total_cmp);
         self.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.usual_pace);
+        let tight = |(i, t): (usize, &Terms)| self.typical(Product(i as u8)) / t.sla.as_secs_f64();
+        self.pressure =
+            self.middle_pace * self.desk.products.iter().enumerate().map(tight).fold(0.0, f64::max);
         for (_, a) in self.roster.ready().filter(|(_, a)| self.jury.judged.is_some_and(|b| a.line.build < b))
         {
             let same = |m: &Appliance| m.line.model == a.line.model && m.line.build <= a.line.build;
@@ -633,15 +655,19 @@
         let more = h.legs.len() < self.desk.max_submissions && h.resendable(now) && left > self.desk.tick * 4;
         let waiting = h.out().next().map(|(leg, l)| (leg, l.to, l.sent, l.called_off));
         if let Some((leg, to, sent, called_off)) = waiting {
-            let usual =
-                Duration::from_secs_f64((3.0 * self.middle_pace * h.work).min(60.0)).max(h.terms.sla / 4);
-            let silent = self.roster.known.get(&to).is_some_and(|a| a.barred() && a.record.heard < sent);
+            let usual = 4.0 * self.middle_pace * h.work.max(self.usual_work);
+            let usual = Duration::from_secs_f64(usual.min(60.0)).max(h.terms.sla / 4);
+            // Given up for lost: nothing comes from there at all, or what was sent there later has come back.
+            // Guards against lost messages and stuck work as well as dead machines.
+            let seen =
+                self.roster.known.get(&to).map(|a| (a.barred() && a.record.heard < sent, a.record.passed));
+            let (silent, overtaken) = seen.map_or((true, true), |(silent, passed)| (silent, passed > sent));
             if !more || sla_left.is_zero() || h.out().count() > 1 || now < sent + usual {
                 return;
             }
             let second = self.desk.second_copies;
             let spare = 0.1 * self.demand.taken.read(now, USUAL) - self.demand.second.read(now, USUAL);
-            if !second && self.desk.may_call_off && silent && !called_off {
+            if !second && self.desk.may_call_off && (silent || overtaken) && !called_off {
                 h.legs[usize::from(leg.0)].called_off = true;
                 out.call_off(id, leg);
             }
@@ -724,7 +750,8 @@
                 continue;
             }
             listed[arm] += weight;
-            let odds = weight * if h.legs.iter().any(|l| l.to == aid) { 0.01 } else { 1.0 };
+            let odds = weight / a.usual_pace(now, self.usual_pace)
+                * if h.legs.iter().any(|l| l.to == aid) { 0.01 } else { 1.0 };
             arms[arm].push((aid, odds, self.cost(a)));
         }
         // A txn that the trial build has failed is better served by an earlier one.
@@ -779,25 +806,32 @@
         out.submit(id, to, Duration::ZERO);
     }
 
-    /// Hands an outcome to the tests. What is no answer at all counts only if the appliance answered others
-    /// since: a machine that died, froze or was cut off says nothing of its build.
+    /// Hands an outcome to the tests. What is no answer, or was turned away, says nothing of the build: a machine
+    /// may have died, frozen or been cut off, a queue may be full. Slowness counts only while the fleet is not
+    /// crowded and, at the trial build, beside an earlier one under the same load. Guards against bursts, cold
+    /// starts, dead machines and shared slowdowns; a build that is bad only under pressure is seen later for it.
     fn judge(&mut self, at: ApplianceId, o: &Out, ending: Ending, took: Duration, alive: bool) {
         let Some(terms) = self.desk.products.get(usize::from(o.product.0)) else { return };
-        let slow = took > terms.sla * 2;
-        let score = match ending {
-            Ending::Served => f64::from(u8::from(slow)),
-            Ending::Failed | Ending::TurnedAway => 1.0,
-            Ending::TimedOut if alive && slow => 1.0,
-            Ending::CalledOff if alive && slow => 1.0,
-            _ => return,
-        };
-        let trial = self.jury.judged.is_some_and(|b| o.build >= b).then_some(at);
         if o.mute || self.jury.tests.is_empty() {
             return;
         }
+        let trial = self.jury.judged.is_some_and(|b| o.build >= b).then_some(at);
+        if trial.is_none() {
+            self.jury.beside.add(self.now, RECENT, 1.0);
+        }
+        let fair = self.pressure < 0.35 && self.jury.beside.read(self.now, RECENT) > 2.0;
+        let score = match ending {
+            Ending::Failed => 1.0,
+            Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
+            Ending::TimedOut | Ending::CalledOff if fair && alive && took > terms.sla * 2 => 1.0,
+            _ => return,
+        };
         if let Some(test) = self.jury.tests.get_mut(usize::from(o.product.0)) {
             test.observe(trial, score);
         }
+        if !fair {
+            return;
+        }
         // A build that needs more work seldom passes twice the SLA time: against the same model's usual time
         // at earlier builds, for work between the rough hint and the usual, half as much again counts as bad.
         let model = self.roster.known.get(&at).and_then(|a| self.jury.paces.get(&a.line.model));
@@ -848,6 +882,7 @@
             if !matches!(ending, Ending::TimedOut | Ending::CalledOff | Ending::Unconnected | Ending::Unsent)
             {
                 a.record.heard = now;
+                a.record.passed = a.record.passed.max(o.sent);
             }
             if !matches!(ending, Ending::CalledOff | Ending::Unsent) {
                 a.record.answers.add(now, RECENT, 1.0);
