--- a/src/brain.rs
+++ b/src/brain.rs
@@ -134,9 +134,7 @@
     fn bound(&self, build: Build) -> Option<(Stage, f64)> {
         match self.news {
             Some(n) if build < n.build || (build == n.build && n.course == Course::Released) => None,
-            Some(n) if build == n.build => {
-                Some((n.stage, if n.course == Course::OnTrial { n.cap } else { 0.0 }))
-            }
+            Some(n) if build == n.build => Some((n.stage, n.cap)),
             _ => Some((Stage(0), self.first_cap)),
         }
     }
@@ -163,9 +161,9 @@
 
 /// Mixing deviation of the test, and the tolerated worsening.
 const TAU: f64 = 0.1;
-const THETA0: f64 = 0.02;
+const THETA0: f64 = 0.01;
 /// Level of the test, before it is divided among the tests.
-const ALPHA: f64 = 0.05;
+const ALPHA: f64 = 0.2;
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
@@ -240,7 +238,9 @@
 /// What a jury has gathered on the build it judges.
 #[derive(Default)]
 struct Judged {
-    /// One test for each product, and one of pace over all.
+    /// The usual pace of all appliances when the build was first heard of.
+    calm: f64,
+    /// One test for each product, one of failures over all and one of pace over all.
     tests: Vec<Test>,
     build: Option<Build>,
     /// Outcomes at earlier builds of late.
@@ -272,13 +272,13 @@
     }
 
     fn level(&self) -> f64 {
-        ALPHA / (self.products + 1) as f64
+        ALPHA / (self.products + 2) as f64
     }
 
-    fn begin(&mut self, build: Build) {
-        self.own.build = Some(build);
+    fn begin(&mut self, build: Build, calm: f64) {
+        (self.own.build, self.own.calm) = (Some(build), calm);
         let level = self.level();
-        self.own.tests = (0..self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
+        self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
         self.own.tests.push(Test::new(10.0 * THETA0, 3.0 * TAU, level));
     }
@@ -380,7 +380,7 @@
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
         let (now, wake_at, begun, demand) = Default::default();
-        let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, pressure: 0.0 };
+        let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3 };
         Brain { now, begun, chance, roster, thaw, exposure, jury, desk, demand, wake_at, stock }
     }
 
@@ -433,9 +433,6 @@
                 strike(&mut a.record, now);
             }
         }
-        let tight = |(i, t): (usize, &Terms)| self.typical(Product(i as u8)) / t.sla.as_secs_f64();
-        self.stock.pressure =
-            self.stock.middle_pace * self.desk.products.iter().enumerate().map(tight).fold(0.0, f64::max);
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
@@ -621,15 +618,16 @@
         if trial.is_none() {
             self.jury.own.beside.add(self.now, RECENT, 1.0);
         }
-        let fair = self.stock.pressure < 0.35 && self.jury.own.beside.read(self.now, RECENT) > 2.0;
+        let fair = self.stock.middle_pace < 2.0 * self.jury.own.calm
+            && self.jury.own.beside.read(self.now, RECENT) > 2.0;
         let score = match ending {
             Ending::Failed => 1.0,
             Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
             Ending::TimedOut | Ending::CalledOff if fair && alive && took > terms.sla * 2 => 1.0,
             _ => return,
         };
-        if let Some(test) = self.jury.own.tests.get_mut(usize::from(o.product.0)) {
-            test.observe(trial, score);
+        for test in [usize::from(o.product.0), self.jury.products] {
+            self.jury.own.tests[test].observe(trial, score);
         }
         if !fair {
             return;
@@ -742,7 +740,7 @@
             self.exposure.windows.answered.clear();
         }
         if course == Course::OnTrial && self.jury.own.build != Some(build) {
-            self.jury.begin(build);
+            self.jury.begin(build, self.stock.usual_pace);
         }
         let same = known.filter(|n| (n.build, n.stage) == (build, stage));
         let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
