One-sided p, arms from the same period, the worst quarter of trial machines left out

Cause: p fell while the trial did better and stayed low; earlier outcomes from another load; two failing machines of eleven convicted a good build after release.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -210,7 +210,10 @@
         let mixed = v + n * self.tau * self.tau;
         let spread = 2.0 * v * mixed / (n * self.tau).powi(2);
         let lambda = (v / mixed).sqrt() * ((y - x - self.theta0).powi(2) / spread).exp();
-        self.p = self.p.min(1.0 / lambda);
+        // One-sided, unlike the paper's: a trial that did better for a while must not count against it later.
+        if y - x > self.theta0 {
+            self.p = self.p.min(1.0 / lambda);
+        }
         // The running interval of the paper; when the estimate leaves it, inference begins anew.
         let half = (spread * ((1.0 / self.alpha).ln() + 0.5 * (mixed / v).ln())).sqrt();
         self.interval = (self.interval.0.max(y - x - half), self.interval.1.min(y - x + half));
@@ -223,14 +226,14 @@
         self.estimate() > self.theta0 && self.p <= level
     }
 
-    /// Whether the trial is worse also without the appliance that looks worst. Guards against a slow or
-    /// failing machine, or a noisy neighbour, that happens to carry the build: a build is bad wherever it
+    /// Whether the trial is worse also without the quarter of its appliances that look worst. Guards against
+    /// failing or slow machines and noisy neighbours that happen to carry the build: a build is bad wherever it
     /// runs. It harms where only one machine will ever carry it.
     fn everywhere(&self) -> bool {
-        let Some(worst) = self.by.values().max_by(|a, b| (a.1 / a.0).total_cmp(&(b.1 / b.0))) else {
-            return false;
-        };
-        let (n, sum) = (self.y.0 - worst.0, self.y.1 - worst.1);
+        let mut by: Vec<_> = self.by.values().copied().collect();
+        by.sort_by(|a, b| (b.1 / b.0).total_cmp(&(a.1 / a.0)));
+        let rest = by.iter().skip(by.len().div_ceil(4));
+        let (n, sum) = rest.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
         n * 4.0 >= ENOUGH && sum / n - self.x.1 / self.x.0.max(1.0) > self.theta0
     }
 }
@@ -243,8 +246,8 @@
     /// One test for each product, one of failures over all and one of pace over all.
     tests: Vec<Test>,
     build: Option<Build>,
-    /// Outcomes at earlier builds of late.
-    beside: Fading,
+    /// Outcomes of late: at earlier builds, and at the build on trial.
+    flow: [Fading; 2],
     /// The usual pace of each model at earlier builds.
     paces: BTreeMap<Model, f64>,
     vote: Option<Vote>,
@@ -280,7 +283,7 @@
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
-        self.own.tests.push(Test::new(10.0 * THETA0, 3.0 * TAU, level));
+        self.own.tests.push(Test::new(20.0 * THETA0, 3.0 * TAU, level));
     }
 
     fn verdict(&self, now: Duration, roster: &Roster, news: News) -> Option<Verdict> {
@@ -380,7 +383,7 @@
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
         let (now, wake_at, begun, demand) = Default::default();
-        let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3 };
+        let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, pressure: 0.0 };
         Brain { now, begun, chance, roster, thaw, exposure, jury, desk, demand, wake_at, stock }
     }
 
@@ -433,6 +436,9 @@
                 strike(&mut a.record, now);
             }
         }
+        let tight = |(i, t): (usize, &Terms)| self.typical(Product(i as u8)) / t.sla.as_secs_f64();
+        let tightest = self.desk.products.iter().enumerate().map(tight).fold(0.0, f64::max);
+        self.stock.pressure = self.stock.middle_pace * tightest;
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
@@ -615,11 +621,14 @@
             return;
         }
         let trial = self.jury.own.build.is_some_and(|b| o.build >= b).then_some(at);
-        if trial.is_none() {
-            self.jury.own.beside.add(self.now, RECENT, 1.0);
+        let arm = usize::from(trial.is_some());
+        self.jury.own.flow[arm].add(self.now, RECENT, 1.0);
+        let beside = self.jury.own.flow[1 - arm].read(self.now, RECENT) > 1.0;
+        // Earlier outcomes count only in the same period as the trial's.
+        if trial.is_none() && !beside {
+            return;
         }
-        let fair = self.stock.middle_pace < 2.0 * self.jury.own.calm
-            && self.jury.own.beside.read(self.now, RECENT) > 2.0;
+        let fair = beside && self.stock.middle_pace < 2.0 * self.jury.own.calm && self.stock.pressure < 0.5;
         let score = match ending {
             Ending::Failed => 1.0,
             Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
--- a/src/state.rs
+++ b/src/state.rs
@@ -206,4 +206,6 @@
     pub(crate) middle_pace: f64,
     /// Mean hinted work of a txn, in seconds.
     pub(crate) usual_work: f64,
+    /// The middle appliance's time for a usual txn as a share of the SLA time, for the tightest product.
+    pub(crate) pressure: f64,
 }
