--- a/src/brain.rs
+++ b/src/brain.rs
@@ -484,8 +484,9 @@
             return;
         }
         let hopeless = sla_left.is_zero() && h.terms.late_share <= 0.0;
-        let (product, terms, first) = (h.txn.product, h.terms, h.legs.is_empty());
-        if !more || hopeless || (first && self.crowded(product, &terms, sla_left)) {
+        let (product, terms) = (h.txn.product, h.terms);
+        let fresh = h.legs.last().is_none_or(|l| l.ending == Some(Ending::TurnedAway));
+        if !more || hopeless || (fresh && self.crowded(product, &terms, sla_left)) {
             return self.give_up(id, out);
         }
         if let Some(to) = self.choose(id) {
@@ -502,7 +503,8 @@
         let expected = self.stock.middle_pace * self.typical(product);
         let pressure = expected / sla_left.as_secs_f64().max(1e-6);
         let from = 0.3 + 0.3 * terms.revenue / most;
-        self.chance.random::<f64>() < (pressure - from) / 0.6
+        let (full, ended) = self.demand.full.read(self.now, RECENT);
+        self.chance.random::<f64>() < f64::max((pressure - from) / 0.6, full / (ended + 1.0))
     }
 
     /// Mean hinted work of a product, in seconds.
@@ -669,6 +671,7 @@
         if let Some(a) = self.roster.fleet.0.get_mut(&at)
             && let Some(o) = a.out.remove(&(id, leg))
         {
+            self.demand.full.add(now, RECENT, f64::from(u8::from(ending == Ending::TurnedAway)), 1.0);
             let alive = a.record.heard > o.sent;
             let build = a.line.build;
             match ending {
--- a/src/state.rs
+++ b/src/state.rs
@@ -155,6 +155,8 @@
     pub(crate) hints: BTreeMap<Product, Ratio>,
     /// Served work, and listed weight x time: what a unit of weight is seen to bear.
     pub(crate) borne: Ratio,
+    /// Submissions turned away unseen, and all that ended.
+    pub(crate) full: Ratio,
     pub(crate) taken: Fading,
     pub(crate) second: Fading,
 }
