Crowding by submissions out over submissions served a second

Cause: the pace of answers comes late and, with all declined, never fell; queues stood at the SLA time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -383,7 +383,7 @@
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
         let (now, wake_at, begun, demand) = Default::default();
-        let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, pressure: 0.0 };
+        let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, ..Stock::default() };
         Brain { now, begun, chance, roster, thaw, exposure, jury, desk, demand, wake_at, stock }
     }
 
@@ -436,6 +436,11 @@
                 strike(&mut a.record, now);
             }
         }
+        // A few idle txns beside what was measured, so that little traffic does not look like a queue.
+        let out = self.roster.fleet.0.values().filter(|a| !a.barred()).map(|a| a.out.len()).sum::<usize>();
+        let served = self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
+        let few = 4.0;
+        self.stock.wait = (out as f64 + few) / (served + few / self.stock.usual_work.max(1e-6));
         let tight = |(i, t): (usize, &Terms)| self.typical(Product(i as u8)) / t.sla.as_secs_f64();
         let tightest = self.desk.products.iter().enumerate().map(tight).fold(0.0, f64::max);
         self.stock.pressure = self.stock.middle_pace * tightest;
@@ -484,9 +489,9 @@
             return;
         }
         let hopeless = sla_left.is_zero() && h.terms.late_share <= 0.0;
-        let (product, terms) = (h.txn.product, h.terms);
+        let terms = h.terms;
         let fresh = h.legs.last().is_none_or(|l| l.ending == Some(Ending::TurnedAway));
-        if !more || hopeless || (fresh && self.crowded(product, &terms, sla_left)) {
+        if !more || hopeless || (fresh && self.crowded(&terms, sla_left)) {
             return self.give_up(id, out);
         }
         if let Some(to) = self.choose(id) {
@@ -494,17 +499,16 @@
         }
     }
 
-    /// Whether the middle appliance answers so slowly that this product would be late: the less it earns, the
-    /// sooner. Guards against queues everywhere (bursts, mass crashes, shared slowdowns). One sick appliance
-    /// does not move the middle, and with no fresh answers the pace goes back to its long-run mean, so that
-    /// declines end by themselves. It harms if SLA times are tighter than an idle appliance can keep.
-    fn crowded(&mut self, product: Product, terms: &Terms, sla_left: Duration) -> bool {
+    /// Whether so much is out already that this txn would wait too long: the less it earns, the sooner. Guards
+    /// against queues everywhere (bursts, lost machines, shared slowdowns, retry storms). What is out, over what
+    /// is served a second, tells the wait before any answer does, and ends with it. It harms if SLA times are
+    /// tighter than an idle appliance can keep.
+    fn crowded(&mut self, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
-        let expected = self.stock.middle_pace * self.typical(product);
-        let pressure = expected / sla_left.as_secs_f64().max(1e-6);
-        let from = 0.3 + 0.3 * terms.revenue / most;
+        let pressure = self.stock.wait / sla_left.as_secs_f64().max(1e-6);
+        let from = 0.4 + 0.2 * terms.revenue / most;
         let (full, ended) = self.demand.full.read(self.now, RECENT);
-        self.chance.random::<f64>() < f64::max((pressure - from) / 0.6, full / (ended + 1.0))
+        self.chance.random::<f64>() < f64::max((pressure - from) / 0.3, full / (ended + 1.0))
     }
 
     /// Mean hinted work of a product, in seconds.
@@ -680,6 +684,7 @@
                     r.recent.add(now, RECENT, took.as_secs_f64(), o.work);
                     r.usual.add(now, USUAL, took.as_secs_f64(), o.work);
                     self.demand.borne.add(now, USUAL, o.work, 0.0);
+                    self.demand.lately.add(now, RECENT, 1.0);
                     if now >= r.barred_until {
                         r.bar = Duration::ZERO;
                     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -155,6 +155,8 @@
     pub(crate) hints: BTreeMap<Product, Ratio>,
     /// Served work, and listed weight x time: what a unit of weight is seen to bear.
     pub(crate) borne: Ratio,
+    /// Submissions served of late.
+    pub(crate) lately: Fading,
     /// Submissions turned away unseen, and all that ended.
     pub(crate) full: Ratio,
     pub(crate) taken: Fading,
@@ -210,4 +212,6 @@
     pub(crate) usual_work: f64,
     /// The middle appliance's time for a usual txn as a share of the SLA time, for the tightest product.
     pub(crate) pressure: f64,
+    /// How long a txn must expect to take, in seconds, from what is out and what is served.
+    pub(crate) wait: f64,
 }
