Doubt holds the on and is told to peers; finer tau and theta0; only grave trouble goes back late

Cause: builds that fail 4 to 7% were waved on by agents with little traffic before a larger one could convict.

--- a/crates/drill/src/options.rs
+++ b/crates/drill/src/options.rs
@@ -104,6 +104,7 @@
         pairs.period("family-info.vote-ttl")?,
         pairs.period("family-info.call-timeout")?,
         pairs.word("family-info.layout", &[("side_by_side", false), ("rolling", true)])?,
+        pairs.num("limits.peers")?,
         products.len(),
     );
     let desk = Desk::new(
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -160,8 +160,10 @@
 }
 
 /// Mixing deviation of the test, and the tolerated worsening.
-const TAU: f64 = 0.1;
-const THETA0: f64 = 0.01;
+const TAU: f64 = 0.05;
+const THETA0: f64 = 0.005;
+/// After the release, going back costs some time without service: not for less than this.
+const GRAVE: f64 = 0.1;
 /// Level of the test, before it is divided among the tests.
 const ALPHA: f64 = 0.2;
 /// Trial outcomes without which a test does not speak.
@@ -222,8 +224,9 @@
         }
     }
 
-    fn worse(&self, level: f64) -> bool {
-        self.estimate() > self.theta0 && self.p <= level
+    /// Whether the trial looks worse, on enough outcomes and not just on a few machines.
+    fn doubtful(&self) -> bool {
+        self.y.0 >= ENOUGH && self.estimate() > self.theta0 && self.everywhere()
     }
 
     /// Whether the trial is worse also without the quarter of its appliances that look worst. Guards against
@@ -251,6 +254,9 @@
     /// The usual pace of each model at earlier builds.
     paces: BTreeMap<Model, f64>,
     vote: Option<Vote>,
+    /// When to tell peers of a doubt again, and until when a peer's doubt counts.
+    warn_at: Duration,
+    warned: Duration,
 }
 
 /// Judges builds and votes.
@@ -261,6 +267,7 @@
     vote_lasts: Duration,
     call_wait: Duration,
     rolling: bool,
+    peers: bool,
     products: usize,
     own: Judged,
 }
@@ -268,10 +275,10 @@
 impl Jury {
     pub fn new(
         gate: Gate, rings: Vec<f64>, dwell: Duration, vote_lasts: Duration, call_wait: Duration,
-        rolling: bool, products: usize,
+        rolling: bool, peers: bool, products: usize,
     ) -> Self {
         let own = Judged::default();
-        Jury { gate, rings, dwell, vote_lasts, call_wait, rolling, products, own }
+        Jury { gate, rings, dwell, vote_lasts, call_wait, rolling, peers, products, own }
     }
 
     fn level(&self) -> f64 {
@@ -283,7 +290,7 @@
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
-        self.own.tests.push(Test::new(20.0 * THETA0, 3.0 * TAU, level));
+        self.own.tests.push(Test::new(40.0 * THETA0, 6.0 * TAU, level));
     }
 
     fn verdict(&self, now: Duration, roster: &Roster, news: News) -> Option<Verdict> {
@@ -291,13 +298,15 @@
         if !matches!(course, Course::OnTrial | Course::Released) || self.own.build != Some(build) {
             return None;
         }
-        if self.own.tests.iter().any(|t| t.y.0 >= ENOUGH && t.worse(self.level()) && t.everywhere()) {
+        let grave = if course == Course::Released { GRAVE } else { 0.0 };
+        let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
+        if self.own.tests.iter().any(worse) {
             return Some(Verdict::Back);
         }
         if course != Course::OnTrial {
             return None;
         }
-        let doubt = self.own.tests.iter().any(|t| t.worse(10.0 * self.level()));
+        let doubt = self.own.tests.iter().any(Test::doubtful);
         let hold = self.dwell * 4 / 3;
         if self.gate == Gate::Clocked {
             return (doubt && now < news.since + hold).then_some(Verdict::Hold);
@@ -308,11 +317,20 @@
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max()?;
         // The list runs late: a stage whose machines it does not show yet has not begun to wait.
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
-        let wait = self.dwell * 5 / 2 + if doubt { hold } else { Duration::ZERO };
-        (shown && now >= newest + wait && now >= news.since + wait / 2).then_some(Verdict::On)
+        // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again. Guards
+        // against agents with little traffic that wave on what a larger one is about to convict.
+        let wait = self.dwell * 5 / 2;
+        let doubt = doubt || now < self.own.warned;
+        let wait = if doubt { wait * 3 } else { wait };
+        (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
     fn round(&mut self, now: Duration, roster: &Roster, news: News, out: &mut dyn Decisions) {
+        let doubt = news.course == Course::OnTrial && self.own.tests.iter().any(Test::doubtful);
+        if self.peers && doubt && self.own.build == Some(news.build) && now >= self.own.warn_at {
+            self.own.warn_at = now + self.dwell / 2;
+            out.tell(None, &news.build.0.to_be_bytes());
+        }
         let Some(verdict) = self.verdict(now, roster, news) else { return };
         let ballot = (news.build, news.stage, verdict);
         if let Some(last) = self.own.vote.as_ref().filter(|v| v.ballot == ballot) {
@@ -505,10 +523,10 @@
     /// tighter than an idle appliance can keep.
     fn crowded(&mut self, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
-        let pressure = self.stock.wait / sla_left.as_secs_f64().max(1e-6);
-        let from = 0.4 + 0.2 * terms.revenue / most;
+        let pressure = (self.stock.wait - self.stock.usual_work) / sla_left.as_secs_f64().max(1e-6);
+        let from = 0.15 + 0.1 * terms.revenue / most;
         let (full, ended) = self.demand.full.read(self.now, RECENT);
-        self.chance.random::<f64>() < f64::max((pressure - from) / 0.3, full / (ended + 1.0))
+        self.chance.random::<f64>() < f64::max((pressure - from) / 0.25, full / (ended + 1.0))
     }
 
     /// Mean hinted work of a product, in seconds.
@@ -764,6 +782,12 @@
         self.exposure.news = Some(News { build, stage, course, cap, since });
     }
 
+    fn peer(&mut self, _: AgentId, octets: &[u8]) {
+        if self.jury.own.build.is_some_and(|b| octets == b.0.to_be_bytes()) {
+            self.jury.own.warned = self.now + self.jury.dwell;
+        }
+    }
+
     fn vote_answered(&mut self, ending: Ending) {
         if let Some(vote) = &mut self.jury.own.vote {
             vote.answer = Some(ending);
