--- a/src/brain.rs
+++ b/src/brain.rs
@@ -169,6 +169,11 @@
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
+/// Share of what the fleet bore before the trial that it must lose, while crowded, to convict a build that slows
+/// old and new alike: there Y - X stays near 0. Half of it holds the on. As what was borne fades by half in
+/// [`USUAL`], shorter slowdowns of other causes pass; a longer one is mistaken for the build.
+const LOST: f64 = 0.35;
+
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
 pub struct Test {
     theta0: f64,
@@ -244,8 +249,9 @@
 /// What a jury has gathered on the build it judges.
 #[derive(Default)]
 struct Judged {
-    /// The usual pace of all appliances when the build was first heard of.
+    /// When the build was first heard of: the usual pace of all appliances, and what a unit of weight bore.
     calm: f64,
+    bore: f64,
     /// One test for each product, one of failures over all and one of pace over all.
     tests: Vec<Test>,
     build: Option<Build>,
@@ -285,28 +291,28 @@
         ALPHA / (self.products + 2) as f64
     }
 
-    fn begin(&mut self, build: Build, calm: f64) {
-        (self.own.build, self.own.calm) = (Some(build), calm);
+    fn begin(&mut self, build: Build, calm: f64, bore: f64) {
+        (self.own.build, self.own.calm, self.own.bore) = (Some(build), calm, bore);
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
         self.own.tests.push(Test::new(40.0 * THETA0, 6.0 * TAU, level));
     }
 
-    fn verdict(&self, now: Duration, roster: &Roster, news: News) -> Option<Verdict> {
+    fn verdict(&self, now: Duration, roster: &Roster, news: News, lost: f64) -> Option<Verdict> {
         let News { build, stage, course, .. } = news;
         if !matches!(course, Course::OnTrial | Course::Released) || self.own.build != Some(build) {
             return None;
         }
         let grave = if course == Course::Released { GRAVE } else { 0.0 };
         let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
-        if self.own.tests.iter().any(worse) {
+        if self.own.tests.iter().any(worse) || lost > LOST {
             return Some(Verdict::Back);
         }
         if course != Course::OnTrial {
             return None;
         }
-        let doubt = self.own.tests.iter().any(Test::doubtful);
+        let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0;
         let hold = self.dwell * 4 / 3;
         if self.gate == Gate::Clocked {
             return (doubt && now < news.since + hold).then_some(Verdict::Hold);
@@ -325,13 +331,13 @@
         (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
-    fn round(&mut self, now: Duration, roster: &Roster, news: News, out: &mut dyn Decisions) {
+    fn round(&mut self, now: Duration, roster: &Roster, news: News, lost: f64, out: &mut dyn Decisions) {
         let doubt = news.course == Course::OnTrial && self.own.tests.iter().any(Test::doubtful);
         if self.peers && doubt && self.own.build == Some(news.build) && now >= self.own.warn_at {
             self.own.warn_at = now + self.dwell / 2;
             out.tell(None, &news.build.0.to_be_bytes());
         }
-        let Some(verdict) = self.verdict(now, roster, news) else { return };
+        let Some(verdict) = self.verdict(now, roster, news, lost) else { return };
         let ballot = (news.build, news.stage, verdict);
         if let Some(last) = self.own.vote.as_ref().filter(|v| v.ballot == ballot) {
             let again = match last.answer {
@@ -346,7 +352,10 @@
             let line = |t: &Test| format!("{:.0}:{:+.2} p{:.3}", t.y.0, t.estimate(), t.p);
             let tests: Vec<_> = self.own.tests.iter().map(line).collect();
             let (build, stage) = (news.build.0, news.stage.0);
-            out.log(&format!("vote {verdict:?} on build {build} stage {stage} [{}]", tests.join(" ")));
+            out.log(&format!(
+                "vote {verdict:?} on build {build} stage {stage} lost {lost:.2} [{}]",
+                tests.join(" ")
+            ));
         }
         self.own.vote = Some(Vote { ballot, sent: now, answer: None });
         out.vote(news.build, news.stage, verdict);
@@ -423,7 +432,7 @@
             self.attend(id, out);
         }
         if let Some(news) = self.exposure.news {
-            self.jury.round(now, &self.roster, news, out);
+            self.jury.round(now, &self.roster, news, self.stock.lost, out);
         }
         // A beat, so that waits end without an event: short while txns are in hand.
         if self.wake_at <= now {
@@ -462,6 +471,10 @@
         let tight = |(i, t): (usize, &Terms)| self.typical(Product(i as u8)) / t.sla.as_secs_f64();
         let tightest = self.desk.products.iter().enumerate().map(tight).fold(0.0, f64::max);
         self.stock.pressure = self.stock.middle_pace * tightest;
+        let (borne, weight) = self.demand.borne.read(now, USUAL);
+        let queued = (self.stock.wait - self.stock.usual_work) * tightest / self.stock.usual_work > 0.15;
+        let lost = 1.0 - borne / (weight * self.jury.own.bore).max(1e-9);
+        self.stock.lost = if queued { lost } else { 0.0 };
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
@@ -647,7 +660,8 @@
         let trial = self.jury.own.build.is_some_and(|b| o.build >= b).then_some(at);
         let arm = usize::from(trial.is_some());
         self.jury.own.flow[arm].add(self.now, RECENT, 1.0);
-        let beside = self.jury.own.flow[1 - arm].read(self.now, RECENT) > 1.0;
+        let [early, late] = self.jury.own.flow.map(|f| f.read(self.now, RECENT));
+        let beside = early > f64::max(1.0, late / 4.0) && late > 1.0;
         // Earlier outcomes count only in the same period as the trial's.
         if trial.is_none() && !beside {
             return;
@@ -775,7 +789,8 @@
             self.exposure.windows.answered.clear();
         }
         if course == Course::OnTrial && self.jury.own.build != Some(build) {
-            self.jury.begin(build, self.stock.usual_pace);
+            let (borne, weight) = self.demand.borne.read(self.now, USUAL);
+            self.jury.begin(build, self.stock.usual_pace, borne / weight.max(1e-9));
         }
         let same = known.filter(|n| (n.build, n.stage) == (build, stage));
         let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
--- a/src/state.rs
+++ b/src/state.rs
@@ -214,4 +214,6 @@
     pub(crate) pressure: f64,
     /// How long a txn must expect to take, in seconds, from what is out and what is served.
     pub(crate) wait: f64,
+    /// Share of what was borne before the trial that is no longer, while crowded.
+    pub(crate) lost: f64,
 }
