Time before the first round no longer counts as listed weight

Cause: the clock starts anywhere; the first round put all of it into the weight sum, so thaw budgets and the capacity ratio were wrong for a minute.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -394,7 +394,6 @@
 
 pub struct Brain {
     now: Duration,
-    begun: bool,
     chance: Pcg64Mcg,
     roster: Roster,
     thaw: Thaw,
@@ -409,17 +408,17 @@
 impl Brain {
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
-        let (now, wake_at, begun, demand) = Default::default();
+        let (now, wake_at, demand) = Default::default();
         let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, ..Stock::default() };
-        Brain { now, begun, chance, roster, thaw, exposure, jury, desk, demand, wake_at, stock }
+        Brain { now, chance, roster, thaw, exposure, jury, desk, demand, wake_at, stock }
     }
 
     /// Hears all that came in, then decides.
     pub fn round(&mut self, now: Duration, intake: impl FnOnce(&mut dyn Hears), out: &mut dyn Decisions) {
-        let passed = now.saturating_sub(std::mem::replace(&mut self.now, now));
-        if !std::mem::replace(&mut self.begun, true) {
-            self.exposure.windows.started = Some(now);
-        }
+        let before = std::mem::replace(&mut self.now, now);
+        // The clock may stand anywhere at the start.
+        let started = *self.exposure.windows.started.get_or_insert(now);
+        let passed = now.saturating_sub(before.max(started));
         self.exposure.windows.trim(now.saturating_sub(self.exposure.span));
         intake(self);
         if self.roster.ask_at.take_if(|t| *t <= now).is_some() {
