--- a/src/brain.rs
+++ b/src/brain.rs
@@ -169,9 +169,9 @@
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
-/// Share of what the fleet bore before the trial that it must lose, while crowded, to convict a build that slows
-/// old and new alike: there Y - X stays near 0. Half of it holds the on. As what was borne fades by half in
-/// [`USUAL`], shorter slowdowns of other causes pass; a longer one is mistaken for the build.
+/// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to convict a
+/// build that slows old and new alike: there Y - X stays near 0. Half of it holds the on. As these sums fade by
+/// half in [`USUAL`], shorter slowdowns of other causes pass; a longer one is mistaken for the build.
 const LOST: f64 = 0.35;
 
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
@@ -242,7 +242,7 @@
         by.sort_by(|a, b| (b.1 / b.0).total_cmp(&(a.1 / a.0)));
         let rest = by.iter().skip(by.len().div_ceil(4));
         let (n, sum) = rest.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
-        n * 4.0 >= ENOUGH && sum / n - self.x.1 / self.x.0.max(1.0) > self.theta0
+        n * 2.0 >= ENOUGH && sum / n - self.x.1 / self.x.0.max(1.0) > self.theta0
     }
 }
 
@@ -471,9 +471,9 @@
         let tightest = self.desk.products.iter().enumerate().map(tight).fold(0.0, f64::max);
         self.stock.pressure = self.stock.middle_pace * tightest;
         let (borne, weight) = self.demand.borne.read(now, USUAL);
-        let queued = (self.stock.wait - self.stock.usual_work) * tightest / self.stock.usual_work > 0.15;
-        let lost = 1.0 - borne / (weight * self.jury.own.bore).max(1e-9);
-        self.stock.lost = if queued { lost } else { 0.0 };
+        let (served, taken) = self.demand.met.read(now, USUAL);
+        let kept = borne / (weight * self.jury.own.bore).max(1e-9);
+        self.stock.lost = 1.0 - kept.max(served / taken.max(1e-9));
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
@@ -504,7 +504,7 @@
                 return;
             }
             let second = self.desk.second_copies;
-            let spare = 0.1 * self.demand.taken.read(now, USUAL) - self.demand.second.read(now, USUAL);
+            let spare = 0.1 * self.demand.met.read(now, USUAL).1 - self.demand.second.read(now, USUAL);
             if !second && self.desk.may_call_off && (silent || overtaken) && !called_off {
                 h.legs[usize::from(leg.0)].called_off = true;
                 out.call_off(id, leg);
@@ -665,7 +665,7 @@
         if trial.is_none() && !beside {
             return;
         }
-        let fair = beside && self.stock.middle_pace < 2.0 * self.jury.own.calm && self.stock.pressure < 0.5;
+        let fair = beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.stock.pressure < 0.5;
         let score = match ending {
             Ending::Failed => 1.0,
             Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
@@ -693,7 +693,7 @@
         let now = self.now;
         let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
         self.exposure.windows.taken.push_back((now, txn.product));
-        self.demand.taken.add(now, USUAL, 1.0);
+        self.demand.met.add(now, USUAL, 0.0, 1.0);
         if let Some(hint) = txn.hint {
             self.demand.hints.entry(txn.product).or_default().add(now, USUAL, hint.as_secs_f64(), 1.0);
         }
@@ -716,6 +716,7 @@
                     r.usual.add(now, USUAL, took.as_secs_f64(), o.work);
                     self.demand.borne.add(now, USUAL, o.work, 0.0);
                     self.demand.lately.add(now, RECENT, 1.0);
+                    self.demand.met.add(now, USUAL, 1.0, 0.0);
                     if now >= r.barred_until {
                         r.bar = Duration::ZERO;
                     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,7 +159,8 @@
     pub(crate) lately: Fading,
     /// Submissions turned away unseen, and all that ended.
     pub(crate) full: Ratio,
-    pub(crate) taken: Fading,
+    /// Submissions served, and txns taken, in the long run.
+    pub(crate) met: Ratio,
     pub(crate) second: Fading,
 }
 
@@ -214,6 +215,6 @@
     pub(crate) pressure: f64,
     /// How long a txn must expect to take, in seconds, from what is out and what is served.
     pub(crate) wait: f64,
-    /// Share of what was borne before the trial that is no longer, while crowded.
+    /// Share that goes unserved both of what was borne before the trial and of what is asked now.
     pub(crate) lost: f64,
 }
