--- a/crates/drill/src/options.rs
+++ b/crates/drill/src/options.rs
@@ -3,7 +3,8 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use lilacgate::brain::{Brain, Desk, Exposure, Jury, Roster, Thaw};
+use lilacgate::brain::Brain;
+use lilacgate::parts::{Desk, Exposure, Jury, Roster, Thaw};
 use lilacgate::port::*;
 
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
@@ -101,8 +102,10 @@
         pairs.word("family-info.gate-mode", &gates)?,
         pairs.figures("family-info.rings")?,
         pairs.period("family-info.min-dwell")?,
-        pairs.period("family-info.vote-ttl")?,
-        pairs.period("family-info.call-timeout")?,
+        Calls {
+            lasts: pairs.period("family-info.vote-ttl")?,
+            wait: pairs.period("family-info.call-timeout")?,
+        },
         pairs.word("family-info.layout", &[("side_by_side", false), ("rolling", true)])?,
         pairs.num("limits.peers")?,
         products.len(),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,13 +1,15 @@
 //! All decisions of an agent. Make the parts from what the deployment is told at its start, put them
 //! together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; decisions go
 //! straight into the writer passed along. What is heard and decided is defined in `port.rs`, what is remembered
-//! in `state.rs`; why things are decided so, in `docs/design.md`.
+//! in `state.rs`, and `parts.rs` has the parts' settings; why things are decided so, in `docs/design.md`.
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::parts::*;
 use crate::port::*;
 use crate::state::*;
 
@@ -39,22 +41,7 @@
     }
 }
 
-/// The agent's own list of appliances, and its upkeep.
-pub struct Roster {
-    zone: Zone,
-    ask_within: Option<Duration>,
-    ask_at: Option<Duration>,
-    ask_pause: Duration,
-    fleet: Fleet,
-}
-
 impl Roster {
-    /// `ask_within` is given where the list comes only when asked for.
-    pub fn new(zone: Zone, ask_within: Option<Duration>) -> Self {
-        let ask_at = ask_within.map(|_| Duration::ZERO);
-        Roster { zone, ask_within, ask_at, ask_pause: Duration::ZERO, fleet: Fleet::default() }
-    }
-
     fn update(&mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
         self.fleet.list(listing, lines);
         self.ask_pause = match (listing, self.ask_within) {
@@ -68,19 +55,7 @@
     }
 }
 
-/// Keeps cold appliances from being pushed over.
-pub struct Thaw {
-    cold_from: f64,
-    ramp: Duration,
-    multiple: f64,
-    span: Duration,
-}
-
 impl Thaw {
-    pub fn new(cold_from: f64, ramp: Duration, multiple: f64, span: Duration) -> Self {
-        Thaw { cold_from, ramp, multiple, span }
-    }
-
     /// The least share of its full capacity that an appliance can have now.
     fn warmth(&self, age: Option<Duration>) -> f64 {
         let Some(age) = age.filter(|&a| a < self.ramp) else { return 1.0 };
@@ -108,28 +83,7 @@
     }
 }
 
-/// Keeps what is sent to builds on trial within the cap.
-pub struct Exposure {
-    span: Duration,
-    tick: Duration,
-    free: f64,
-    first_cap: f64,
-    per_product: bool,
-    guarded: u8,
-    forward_only: bool,
-    news: Option<News>,
-    windows: Windows,
-}
-
 impl Exposure {
-    pub fn new(
-        span: Duration, tick: Duration, free: f64, first_cap: f64, per_product: bool, guarded: u8,
-        forward_only: bool,
-    ) -> Self {
-        let (news, windows) = Default::default();
-        Exposure { span, tick, free, first_cap, per_product, guarded, forward_only, news, windows }
-    }
-
     /// The stage and cap that bind for a build; nothing if it is not on trial.
     fn bound(&self, build: Build) -> Option<(Stage, f64)> {
         match self.news {
@@ -150,12 +104,12 @@
             return false;
         }
         let same = |p: Product| !self.per_product || p == product;
-        let sent = w.sent.iter().filter(|(t, p, b)| *b == build && same(*p) && *t + self.span >= now).count();
+        let sent = w.sent.iter().filter(|(t, p, b)| *b == build && same(*p) && *t + self.span >= now);
         let since = (now + self.tick).saturating_sub(self.span);
-        let taken = w.taken.iter().filter(|(t, p)| *t > since && same(*p)).count();
+        let taken = w.taken.iter().filter(|(t, p)| *t > since && same(*p)).count() as f64;
         // What an earlier life of this agent sent is not known: its free allowance may be used up.
         let free = if w.started.is_some_and(|s| s + self.span >= now) { 0.0 } else { self.free };
-        sent as f64 + 1.0 <= free + cap * taken as f64
+        sent.count() as f64 + 1.0 <= free + cap * taken
     }
 }
 
@@ -193,10 +147,6 @@
         Test { theta0, tau, alpha, x, y, by, p: 1.0, interval }
     }
 
-    pub fn p(&self) -> f64 {
-        self.p
-    }
-
     fn estimate(&self) -> f64 {
         self.y.1 / self.y.0.max(1.0) - self.x.1 / self.x.0.max(1.0)
     }
@@ -246,47 +196,7 @@
     }
 }
 
-/// What a jury has gathered on the build it judges.
-#[derive(Default)]
-struct Judged {
-    /// When the build was first heard of: the usual pace of all appliances, and what a unit of weight bore.
-    calm: f64,
-    bore: f64,
-    /// One test for each product, one of failures over all and one of pace over all.
-    tests: Vec<Test>,
-    build: Option<Build>,
-    /// Outcomes of late: at earlier builds, and at the build on trial.
-    flow: [Fading; 2],
-    /// The usual pace of each model at earlier builds.
-    paces: BTreeMap<Model, f64>,
-    vote: Option<Vote>,
-    /// When to tell peers of a doubt again, and until when a peer's doubt counts.
-    warn_at: Duration,
-    warned: Duration,
-}
-
-/// Judges builds and votes.
-pub struct Jury {
-    gate: Gate,
-    rings: Vec<f64>,
-    dwell: Duration,
-    vote_lasts: Duration,
-    call_wait: Duration,
-    rolling: bool,
-    peers: bool,
-    products: usize,
-    own: Judged,
-}
-
 impl Jury {
-    pub fn new(
-        gate: Gate, rings: Vec<f64>, dwell: Duration, vote_lasts: Duration, call_wait: Duration,
-        rolling: bool, peers: bool, products: usize,
-    ) -> Self {
-        let own = Judged::default();
-        Jury { gate, rings, dwell, vote_lasts, call_wait, rolling, peers, products, own }
-    }
-
     fn level(&self) -> f64 {
         ALPHA / (self.products + 2) as f64
     }
@@ -312,10 +222,9 @@
         if course != Course::OnTrial {
             return None;
         }
-        let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0;
-        let hold = self.dwell * 4 / 3;
+        let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0 || now < self.own.warned;
         if self.gate == Gate::Clocked {
-            return (doubt && now < news.since + hold).then_some(Verdict::Hold);
+            return (doubt && now < news.since + self.dwell * 4 / 3).then_some(Verdict::Hold);
         }
         let ring = self.rings.get(usize::from(stage.0)).copied().unwrap_or(1.0);
         let (trial, early): (Vec<_>, Vec<_>) = roster.fleet.ready().partition(|(_, a)| a.line.build == build);
@@ -325,9 +234,7 @@
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
         // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again. Guards
         // against agents with little traffic that wave on what a larger one is about to convict.
-        let wait = self.dwell * 5 / 2;
-        let doubt = doubt || now < self.own.warned;
-        let wait = if doubt { wait * 3 } else { wait };
+        let wait = self.dwell * 5 / 2 * if doubt { 3 } else { 1 };
         (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
@@ -341,9 +248,9 @@
         let ballot = (news.build, news.stage, verdict);
         if let Some(last) = self.own.vote.as_ref().filter(|v| v.ballot == ballot) {
             let again = match last.answer {
-                Some(Ending::Served) => self.vote_lasts * 4 / 5,
-                Some(_) => self.call_wait / 4,
-                None => self.call_wait * 2,
+                Some(Ending::Served) => self.calls.lasts * 4 / 5,
+                Some(_) => self.calls.wait / 4,
+                None => self.calls.wait * 2,
             };
             if now < last.sent + again {
                 return;
@@ -352,10 +259,8 @@
             let line = |t: &Test| format!("{:.0}:{:+.2} p{:.3}", t.y.0, t.estimate(), t.p);
             let tests: Vec<_> = self.own.tests.iter().map(line).collect();
             let (build, stage) = (news.build.0, news.stage.0);
-            out.log(&format!(
-                "vote {verdict:?} on build {build} stage {stage} lost {lost:.2} [{}]",
-                tests.join(" ")
-            ));
+            let head = format!("vote {verdict:?} on build {build} stage {stage} lost {lost:.2}");
+            out.log(&format!("{head} [{}]", tests.join(" ")));
         }
         self.own.vote = Some(Vote { ballot, sent: now, answer: None });
         out.vote(news.build, news.stage, verdict);
@@ -371,27 +276,6 @@
     }
 }
 
-/// The txns in hand, and what is agreed for them.
-pub struct Desk {
-    products: Vec<Terms>,
-    max_submissions: usize,
-    second_copies: bool,
-    may_call_off: bool,
-    longest_advice: Duration,
-    tick: Duration,
-    held: BTreeMap<TxnId, Held>,
-}
-
-impl Desk {
-    pub fn new(
-        products: Vec<Terms>, max_submissions: usize, second_copies: bool, may_call_off: bool,
-        longest_advice: Duration, tick: Duration,
-    ) -> Self {
-        let held = BTreeMap::new();
-        Desk { products, max_submissions, second_copies, may_call_off, longest_advice, tick, held }
-    }
-}
-
 pub struct Brain {
     now: Duration,
     chance: Pcg64Mcg,
@@ -443,33 +327,25 @@
     fn take_stock(&mut self, passed: Duration) {
         let now = self.now;
         let fleet = &self.roster.fleet;
-        let weight: f64 = fleet.ready().map(|(_, a)| a.weight()).sum();
-        self.demand.borne.add(now, USUAL, 0.0, weight * passed.as_secs_f64());
+        self.demand.borne.add(now, USUAL, 0.0, fleet.weight() * passed.as_secs_f64());
         self.stock.usual_pace = fleet.pace(now, USUAL, |_| true).unwrap_or(1.0);
-        let hints = self.demand.hints.values().map(|h| h.read(now, USUAL));
-        let (work, many) = hints.fold((1e-9, 1e-6), |sum, one| (sum.0 + one.0, sum.1 + one.1));
-        self.stock.usual_work = work / many;
+        self.stock.usual_work = self.demand.work(now, USUAL, |_| true).unwrap_or(1e-3).max(1e-4);
         let mut paces: Vec<f64> = fleet.ready().map(|(_, a)| pace(a, now, &self.stock)).collect();
         paces.sort_by(f64::total_cmp);
         self.stock.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.stock.usual_pace);
         // Silence: several submissions wait far longer than usual and nothing came since the oldest was sent.
         // Guards against a machine that vanished, froze or was cut off, long before the list tells.
-        let patience =
-            Duration::from_secs_f64((6.0 * self.stock.middle_pace * self.stock.usual_work).clamp(0.0, 60.0));
+        let patience = 6.0 * self.stock.middle_pace * self.stock.usual_work;
         for a in self.roster.fleet.0.values_mut() {
-            let oldest = a.out.values().map(|o| o.sent).min();
-            if a.out.len() > 1 && oldest.is_some_and(|o| now > o + patience && a.record.heard < o) {
+            if a.unheard_since().is_some_and(|o| now.saturating_sub(o).as_secs_f64() > patience) {
                 strike(&mut a.record, now);
             }
         }
+        let few = 4.0;
         // A few idle txns beside what was measured, so that little traffic does not look like a queue.
-        let out = self.roster.fleet.0.values().filter(|a| !a.barred()).map(|a| a.out.len()).sum::<usize>();
+        let out = self.roster.fleet.out();
         let served = self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
-        let few = 4.0;
-        self.stock.wait = (out as f64 + few) / (served + few / self.stock.usual_work.max(1e-6));
-        let tight = |(i, t): (usize, &Terms)| self.typical(Product(i as u8)) / t.sla.as_secs_f64();
-        let tightest = self.desk.products.iter().enumerate().map(tight).fold(0.0, f64::max);
-        self.stock.pressure = self.stock.middle_pace * tightest;
+        self.stock.wait = (out as f64 + few) / (served + few / self.stock.usual_work);
         let (borne, weight) = self.demand.borne.read(now, USUAL);
         let (served, taken) = self.demand.met.read(now, USUAL);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
@@ -497,22 +373,18 @@
             let usual = Duration::from_secs_f64(usual.min(60.0)).max(h.terms.sla / 4);
             // Given up for lost: nothing comes from there at all, or what was sent there later has come back.
             // Guards against lost messages and stuck work as well as dead machines.
-            let seen =
-                self.roster.fleet.0.get(&to).map(|a| (a.barred() && a.record.heard < sent, a.record.passed));
-            let (silent, overtaken) = seen.map_or((true, true), |(silent, passed)| (silent, passed > sent));
+            let a = self.roster.fleet.0.get(&to);
+            let lost = a.is_none_or(|a| a.record.passed > sent || (a.barred() && a.record.heard < sent));
             if !more || sla_left.is_zero() || h.out().count() > 1 || now < sent + usual {
                 return;
             }
-            let second = self.desk.second_copies;
-            let spare = 0.1 * self.demand.met.read(now, USUAL).1 - self.demand.second.read(now, USUAL);
-            if !second && self.desk.may_call_off && (silent || overtaken) && !called_off {
-                h.legs[usize::from(leg.0)].called_off = true;
-                out.call_off(id, leg);
-            }
-            if second
-                && (silent || spare > 1.0)
-                && let Some(to) = self.choose(id)
-            {
+            let spare = 0.1 * self.demand.met.read(now, USUAL).1 > 1.0 + self.demand.second.read(now, USUAL);
+            if !self.desk.second_copies {
+                if lost && self.desk.may_call_off && !called_off {
+                    h.legs[usize::from(leg.0)].called_off = true;
+                    out.call_off(id, leg);
+                }
+            } else if spare && let Some(to) = self.choose(id) {
                 self.demand.second.add(now, USUAL, 1.0);
                 self.submit(id, to, out);
             }
@@ -535,17 +407,20 @@
     /// tighter than an idle appliance can keep.
     fn crowded(&mut self, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
-        let pressure = (self.stock.wait - self.stock.usual_work) / sla_left.as_secs_f64().max(1e-6);
+        let pressure = self.queue(sla_left);
         let from = 0.15 + 0.1 * terms.revenue / most;
         let (full, ended) = self.demand.full.read(self.now, RECENT);
         self.chance.random::<f64>() < f64::max((pressure - from) / 0.25, full / (ended + 1.0))
     }
 
+    /// What a txn waits beyond its work, as a share of a time.
+    fn queue(&self, of: Duration) -> f64 {
+        (self.stock.wait - self.stock.usual_work) / of.as_secs_f64().max(1e-6)
+    }
+
     /// Mean hinted work of a product, in seconds.
     fn typical(&self, p: Product) -> f64 {
-        let Some(hints) = self.demand.hints.get(&p) else { return self.stock.usual_work };
-        let (work, many) = hints.read(self.now, USUAL);
-        work / many.max(1e-9)
+        self.demand.work(self.now, USUAL, |q| q == p).unwrap_or(self.stock.usual_work)
     }
 
     fn give_up(&mut self, id: TxnId, out: &mut dyn Decisions) {
@@ -602,16 +477,8 @@
         let share = if failed_there { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
         let arm = usize::from(self.chance.random::<f64>() < share);
         let arm = if arms[arm].is_empty() { 1 - arm } else { arm };
-        let sum: f64 = arms[arm].iter().map(|c| c.1).sum();
-        let mut draw = || {
-            let mut at = self.chance.random::<f64>() * sum;
-            let hit = arms[arm].iter().find(|c| {
-                at -= c.1;
-                at < 0.0
-            });
-            hit.or(arms[arm].last()).copied()
-        };
-        let (one, two) = (draw()?, draw()?);
+        let (one, two) = (arms[arm].choose_weighted(&mut self.chance, |c| c.1), &arms[arm]);
+        let (one, two) = (one.ok()?, two.choose_weighted(&mut self.chance, |c| c.1).ok()?);
         Some(if two.2 < one.2 { two.0 } else { one.0 })
     }
 
@@ -665,7 +532,8 @@
         if trial.is_none() && !beside {
             return;
         }
-        let fair = beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.stock.pressure < 0.5;
+        let fair =
+            beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.queue(terms.sla) < 0.15;
         let score = match ending {
             Ending::Failed => 1.0,
             Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
@@ -706,38 +574,33 @@
         if let Some(a) = self.roster.fleet.0.get_mut(&at)
             && let Some(o) = a.out.remove(&(id, leg))
         {
-            self.demand.full.add(now, RECENT, f64::from(u8::from(ending == Ending::TurnedAway)), 1.0);
             let alive = a.record.heard > o.sent;
             let build = a.line.build;
-            match ending {
-                Ending::Served => {
-                    let r = &mut a.record;
-                    r.recent.add(now, RECENT, took.as_secs_f64(), o.work);
-                    r.usual.add(now, USUAL, took.as_secs_f64(), o.work);
-                    self.demand.borne.add(now, USUAL, o.work, 0.0);
-                    self.demand.lately.add(now, RECENT, 1.0);
-                    self.demand.met.add(now, USUAL, 1.0, 0.0);
-                    if now >= r.barred_until {
-                        r.bar = Duration::ZERO;
-                    }
+            let (served, full) = (ending == Ending::Served, ending == Ending::TurnedAway);
+            self.demand.full.add(now, RECENT, f64::from(u8::from(full)), 1.0);
+            if served {
+                a.record.served(now, (RECENT, USUAL), took, o.work);
+                self.demand.served(now, (RECENT, USUAL), o.work);
+                if now >= a.record.barred_until {
+                    a.record.bar = Duration::ZERO;
                 }
-                Ending::Unconnected | Ending::Broken => strike(&mut a.record, now),
-                _ => {}
             }
-            if !matches!(ending, Ending::TimedOut | Ending::CalledOff | Ending::Unconnected | Ending::Unsent)
-            {
+            if matches!(ending, Ending::Unconnected | Ending::Broken) {
+                strike(&mut a.record, now);
+            }
+            if served || full || matches!(ending, Ending::Failed | Ending::Broken) {
                 a.record.heard = now;
                 a.record.passed = a.record.passed.max(o.sent);
             }
             if !matches!(ending, Ending::CalledOff | Ending::Unsent) {
-                a.record.fails.add(now, RECENT, f64::from(u8::from(ending != Ending::Served)), 1.0);
+                a.record.fails.add(now, RECENT, f64::from(u8::from(!served)), 1.0);
             }
             // An appliance that fails far more than others of its build is left alone for a while. A build as
             // a whole is never barred: its failures are the test's evidence.
             let fails = failing(a, now);
             let mates = self.roster.fleet.ready().filter(|(id, a)| *id != at && a.line.build == build);
             let (many, sum) = mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + failing(a, now)));
-            if ending != Ending::Served
+            if !served
                 && many > 0.0
                 && fails > sum / many + 0.3
                 && let Some(a) = self.roster.fleet.0.get_mut(&at)
@@ -745,7 +608,7 @@
                 strike(&mut a.record, now);
             }
             self.judge(at, &o, ending, took, alive);
-            if ending == Ending::Served
+            if served
                 && self.exposure.forward_only
                 && self.exposure.news.is_some_and(|n| o.build == n.build)
                 && let Some(mark) = self.desk.held.get(&id).and_then(|h| h.txn.mark)
@@ -759,11 +622,9 @@
             if let Some(l) = h.legs.get_mut(usize::from(leg.0)) {
                 l.ending = Some(ending);
             }
-            let unrun = [Some(Ending::TurnedAway), Some(Ending::Unconnected), Some(Ending::Unsent)];
-            let first = h.legs.iter().find(|l| !unrun.contains(&l.ending));
-            let line = first
+            let first = h.legs.iter().find(|l| l.ending.is_none_or(Ending::may_have_run));
+            h.risk = first
                 .and_then(|l| self.roster.fleet.0.get(&l.to).map(|a| (l.sent, a.line.zone, a.line.cell)));
-            h.risk = line;
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,6 @@
 #![forbid(unsafe_code)]
 
 pub mod brain;
+pub mod parts;
 pub mod port;
 mod state;
--- /dev/null
+++ b/src/parts.rs
@@ -0,0 +1,102 @@
+//! The parts of the decision module, each with its own few settings. How they decide is in `brain.rs`.
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::port::*;
+use crate::state::*;
+
+/// The agent's own list of appliances, and its upkeep.
+pub struct Roster {
+    pub(crate) zone: Zone,
+    pub(crate) ask_within: Option<Duration>,
+    pub(crate) ask_at: Option<Duration>,
+    pub(crate) ask_pause: Duration,
+    pub(crate) fleet: Fleet,
+}
+
+impl Roster {
+    /// `ask_within` is given where the list comes only when asked for.
+    pub fn new(zone: Zone, ask_within: Option<Duration>) -> Self {
+        let ask_at = ask_within.map(|_| Duration::ZERO);
+        Roster { zone, ask_within, ask_at, ask_pause: Duration::ZERO, fleet: Fleet::default() }
+    }
+}
+
+/// Keeps cold appliances from being pushed over.
+pub struct Thaw {
+    pub(crate) cold_from: f64,
+    pub(crate) ramp: Duration,
+    pub(crate) multiple: f64,
+    pub(crate) span: Duration,
+}
+
+impl Thaw {
+    pub fn new(cold_from: f64, ramp: Duration, multiple: f64, span: Duration) -> Self {
+        Thaw { cold_from, ramp, multiple, span }
+    }
+}
+
+/// Keeps what is sent to builds on trial within the cap.
+pub struct Exposure {
+    pub(crate) span: Duration,
+    pub(crate) tick: Duration,
+    pub(crate) free: f64,
+    pub(crate) first_cap: f64,
+    pub(crate) per_product: bool,
+    pub(crate) guarded: u8,
+    pub(crate) forward_only: bool,
+    pub(crate) news: Option<News>,
+    pub(crate) windows: Windows,
+}
+
+impl Exposure {
+    pub fn new(
+        span: Duration, tick: Duration, free: f64, first_cap: f64, per_product: bool, guarded: u8,
+        forward_only: bool,
+    ) -> Self {
+        let (news, windows) = Default::default();
+        Exposure { span, tick, free, first_cap, per_product, guarded, forward_only, news, windows }
+    }
+}
+
+/// Judges builds and votes.
+pub struct Jury {
+    pub(crate) gate: Gate,
+    pub(crate) rings: Vec<f64>,
+    pub(crate) dwell: Duration,
+    pub(crate) calls: Calls,
+    pub(crate) rolling: bool,
+    pub(crate) peers: bool,
+    pub(crate) products: usize,
+    pub(crate) own: Judged,
+}
+
+impl Jury {
+    pub fn new(
+        gate: Gate, rings: Vec<f64>, dwell: Duration, calls: Calls, rolling: bool, peers: bool,
+        products: usize,
+    ) -> Self {
+        Jury { gate, rings, dwell, calls, rolling, peers, products, own: Judged::default() }
+    }
+}
+
+/// The txns in hand, and what is agreed for them.
+pub struct Desk {
+    pub(crate) products: Vec<Terms>,
+    pub(crate) max_submissions: usize,
+    pub(crate) second_copies: bool,
+    pub(crate) may_call_off: bool,
+    pub(crate) longest_advice: Duration,
+    pub(crate) tick: Duration,
+    pub(crate) held: BTreeMap<TxnId, Held>,
+}
+
+impl Desk {
+    pub fn new(
+        products: Vec<Terms>, max_submissions: usize, second_copies: bool, may_call_off: bool,
+        longest_advice: Duration, tick: Duration,
+    ) -> Self {
+        let held = BTreeMap::new();
+        Desk { products, max_submissions, second_copies, may_call_off, longest_advice, tick, held }
+    }
+}
--- a/src/port.rs
+++ b/src/port.rs
@@ -68,6 +68,13 @@
     Unsent,
 }
 
+impl Ending {
+    /// Whether the txn may have run there; the other endings prove that it never did.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Ending::TurnedAway | Ending::Unconnected | Ending::Unsent)
+    }
+}
+
 /// What the roster says of an appliance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -158,6 +165,13 @@
     pub late_share: f64,
 }
 
+/// How long a vote stands, and how long the answer to its call may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Calls {
+    pub lasts: Duration,
+    pub wait: Duration,
+}
+
 /// A line of the roster.
 #[derive(Clone, Copy, Debug)]
 pub struct Line {
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use crate::brain::Test;
 use crate::port::*;
 
 /// A sum whose older parts fade, brought up to date when it is read.
@@ -62,6 +63,13 @@
     pub(crate) barred_until: Duration,
 }
 
+impl Record {
+    pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), took: Duration, work: f64) {
+        self.recent.add(now, halves.0, took.as_secs_f64(), work);
+        self.usual.add(now, halves.1, took.as_secs_f64(), work);
+    }
+}
+
 pub(crate) struct Appliance {
     pub(crate) line: Line,
     pub(crate) record: Record,
@@ -79,6 +87,12 @@
         !self.record.bar.is_zero()
     }
 
+    /// When the oldest of several submissions out was sent, if nothing came from there since.
+    pub(crate) fn unheard_since(&self) -> Option<Duration> {
+        let oldest = self.out.values().map(|o| o.sent).min();
+        oldest.filter(|&o| self.out.len() > 1 && self.record.heard < o)
+    }
+
     pub(crate) fn weight(&self) -> f64 {
         f64::from(self.line.weight)
     }
@@ -113,6 +127,15 @@
         self.0.iter().filter(|(_, a)| a.line.mode == Mode::Ready).map(|(&id, a)| (id, a))
     }
 
+    /// How many submissions are out, but for those at barred appliances.
+    pub(crate) fn out(&self) -> usize {
+        self.0.values().filter(|a| !a.barred()).map(|a| a.out.len()).sum()
+    }
+
+    pub(crate) fn weight(&self) -> f64 {
+        self.ready().map(|(_, a)| a.weight()).sum()
+    }
+
     /// Time taken for each unit of hinted work in the long run, over the appliances that the filter takes.
     pub(crate) fn pace(&self, now: Duration, half: Duration, of: impl Fn(&Appliance) -> bool) -> Option<f64> {
         let read = |a: &Appliance| a.record.usual.read(now, half);
@@ -164,6 +187,21 @@
     pub(crate) second: Fading,
 }
 
+impl Demand {
+    /// Mean hinted work of a txn, in seconds, over the products that the filter takes.
+    pub(crate) fn work(&self, now: Duration, half: Duration, of: impl Fn(Product) -> bool) -> Option<f64> {
+        let taken = self.hints.iter().filter(|(p, _)| of(**p)).map(|(_, h)| h.read(now, half));
+        let (work, many) = taken.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        (many > 0.0).then(|| work / many)
+    }
+
+    pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), work: f64) {
+        self.lately.add(now, halves.0, 1.0);
+        self.borne.add(now, halves.1, work, 0.0);
+        self.met.add(now, halves.1, 1.0, 0.0);
+    }
+}
+
 /// What the exposure rule counts, exactly.
 #[derive(Default)]
 pub(crate) struct Windows {
@@ -203,6 +241,25 @@
     pub(crate) answer: Option<Ending>,
 }
 
+/// What a jury has gathered on the build it judges.
+#[derive(Default)]
+pub(crate) struct Judged {
+    /// When the build was first heard of: the usual pace of all appliances, and what a unit of weight bore.
+    pub(crate) calm: f64,
+    pub(crate) bore: f64,
+    /// One test for each product, one of failures over all and one of pace over all.
+    pub(crate) tests: Vec<Test>,
+    pub(crate) build: Option<Build>,
+    /// Outcomes of late: at earlier builds, and at the build on trial.
+    pub(crate) flow: [Fading; 2],
+    /// The usual pace of each model at earlier builds.
+    pub(crate) paces: BTreeMap<Model, f64>,
+    pub(crate) vote: Option<Vote>,
+    /// When to tell peers of a doubt again, and until when a peer's doubt counts.
+    pub(crate) warn_at: Duration,
+    pub(crate) warned: Duration,
+}
+
 /// The fleet at a glance.
 #[derive(Default)]
 pub(crate) struct Stock {
@@ -211,8 +268,6 @@
     pub(crate) middle_pace: f64,
     /// Mean hinted work of a txn, in seconds.
     pub(crate) usual_work: f64,
-    /// The middle appliance's time for a usual txn as a share of the SLA time, for the tightest product.
-    pub(crate) pressure: f64,
     /// How long a txn must expect to take, in seconds, from what is out and what is served.
     pub(crate) wait: f64,
     /// Share that goes unserved both of what was borne before the trial and of what is asked now.
