Scenarios and their runner; an agent that restarts amid a trial convicts nobody

Cause, found by a scenario: with no time before the trial to compare with, the first txn taken and not yet served read as all capacity lost, and the build was sent back. The queue is counted as txns go out, so a burst within one round is seen.

--- /dev/null
+++ b/crates/drill/tests/malformed.rs
@@ -0,0 +1,67 @@
+//! Malformed frames: one plain line on standard error and a non-zero exit, never a panic.
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use rstest::rstest;
+
+fn drill(input: &[u8]) -> (bool, Vec<u8>, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacgate-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the drill starts");
+    child.stdin.take().expect("its input").write_all(input).expect("it reads");
+    let done = child.wait_with_output().expect("it ends");
+    (done.status.success(), done.stdout, String::from_utf8_lossy(&done.stderr).into_owned())
+}
+
+fn frame(records: &[&[u8]], tail: &[u8]) -> Vec<u8> {
+    let len = 16 + 40 * records.len() + tail.len();
+    let mut bytes = (len as u32).to_be_bytes().to_vec();
+    bytes.extend((records.len() as u32).to_be_bytes());
+    bytes.extend(8_412_250_u64.to_be_bytes());
+    for record in records {
+        let end = bytes.len() + 40;
+        bytes.extend_from_slice(record);
+        bytes.resize(end, 0);
+    }
+    bytes.extend_from_slice(tail);
+    bytes
+}
+
+const ON: &[u8] = &[15, 0, 3];
+
+#[rstest]
+#[case::cut_header(vec![0, 0, 0, 16], "inside a frame's header")]
+#[case::short_length(vec![0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0], "shorter than its header")]
+#[case::cut_body(frame(&[ON], &[])[..40].to_vec(), "inside a frame")]
+#[case::many_records([&[0, 0, 0, 16, 255, 255, 255, 255][..], &[0; 8]].concat(), "cannot hold")]
+#[case::unknown_instance(frame(&[ON, &[1]], &[]), "never started")]
+#[case::no_instance(frame(&[&[1]], &[]), "before any ON")]
+#[case::page_number(frame(&[ON, &[5, 0, 0, 0, 99]], &[]), "number 99")]
+#[case::page_outside(frame(&[ON, &[5, 0, 0, 0, 1, 0, 0, 0, 0, 255, 255, 255, 255]], &[]), "outside the tail")]
+fn refused(#[case] input: Vec<u8>, #[case] why: &str) {
+    let (fine, _, said) = drill(&input);
+    assert!(!fine);
+    assert!(said.contains(why), "said {said:?}");
+    assert_eq!(said.lines().count(), 1, "said {said:?}");
+}
+
+#[rstest]
+fn empty_batches_and_the_end() {
+    let (fine, replies, said) = drill(&[frame(&[], &[]), frame(&[], &[])].concat());
+    assert!(fine, "said {said:?}");
+    assert_eq!(replies, [0, 0, 0, 0, 0, 0, 0, 8].repeat(2));
+}
+
+#[rstest]
+#[case::lacks_a_key(b"tick=5000\n", "settings lack profiles.count")]
+#[case::not_utf8(b"\xff\xfe", "not UTF-8")]
+fn bad_settings(#[case] options: &[u8], #[case] why: &str) {
+    let mut up = vec![6, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0];
+    up.extend((options.len() as u32).to_be_bytes());
+    let (_, replies, said) = drill(&frame(&[ON, &up], options));
+    let told = format!("{}{said}", String::from_utf8_lossy(&replies));
+    assert!(told.contains(why), "told {told:?}");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -147,6 +147,10 @@
         Test { theta0, tau, alpha, x, y, by, p: 1.0, interval }
     }
 
+    pub fn p(&self) -> f64 {
+        self.p
+    }
+
     fn estimate(&self) -> f64 {
         self.y.1 / self.y.0.max(1.0) - self.x.1 / self.x.0.max(1.0)
     }
@@ -341,15 +345,13 @@
                 strike(&mut a.record, now);
             }
         }
-        let few = 4.0;
-        // A few idle txns beside what was measured, so that little traffic does not look like a queue.
-        let out = self.roster.fleet.out();
-        let served = self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
-        self.stock.wait = (out as f64 + few) / (served + few / self.stock.usual_work);
+        self.stock.served =
+            self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
         let (borne, weight) = self.demand.borne.read(now, USUAL);
         let (served, taken) = self.demand.met.read(now, USUAL);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
-        self.stock.lost = 1.0 - kept.max(served / taken.max(1e-9));
+        self.stock.lost =
+            if self.jury.own.bore > 0.0 { 1.0 - kept.max(served / taken.max(1e-9)) } else { 0.0 };
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
@@ -413,9 +415,12 @@
         self.chance.random::<f64>() < f64::max((pressure - from) / 0.25, full / (ended + 1.0))
     }
 
-    /// What a txn waits beyond its work, as a share of a time.
+    /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is served.
+    /// A few idle txns beside what was measured keep little traffic from looking like a queue.
     fn queue(&self, of: Duration) -> f64 {
-        (self.stock.wait - self.stock.usual_work) / of.as_secs_f64().max(1e-6)
+        let (few, idle) = (4.0, self.stock.usual_work);
+        let wait = (self.roster.fleet.out() as f64 + few) / (self.stock.served + few / idle);
+        (wait - idle) / of.as_secs_f64().max(1e-6)
     }
 
     /// Mean hinted work of a product, in seconds.
@@ -650,8 +655,10 @@
             self.exposure.windows.answered.clear();
         }
         if course == Course::OnTrial && self.jury.own.build != Some(build) {
+            // An agent that restarted amid a trial has no time before it to compare with.
             let (borne, weight) = self.demand.borne.read(self.now, USUAL);
-            self.jury.begin(build, self.stock.usual_pace, borne / weight.max(1e-9));
+            let known = self.exposure.windows.started.is_some_and(|s| s + USUAL / 4 < self.now);
+            self.jury.begin(build, self.stock.usual_pace, if known { borne / weight.max(1e-9) } else { 0.0 });
         }
         let same = known.filter(|n| (n.build, n.stage) == (build, stage));
         let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
--- a/src/state.rs
+++ b/src/state.rs
@@ -268,8 +268,8 @@
     pub(crate) middle_pace: f64,
     /// Mean hinted work of a txn, in seconds.
     pub(crate) usual_work: f64,
-    /// How long a txn must expect to take, in seconds, from what is out and what is served.
-    pub(crate) wait: f64,
+    /// Submissions served a second, of late.
+    pub(crate) served: f64,
     /// Share that goes unserved both of what was borne before the trial and of what is asked now.
     pub(crate) lost: f64,
 }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,307 @@
+//! Plays every scenario in `tests/scenarios`. A line is one step:
+//!
+//!     set KEY VALUE                        before the first round, changes what a part is made with
+//!     product KIND SLA [GROUP REMEMBERED]  KIND is inquiry, referenced or once; times in ms
+//!     at MS                                begins a round; the events that follow come in with it
+//!     roster KIND ID:MODE:BUILD[:AGE[:ZONE]] ..   | txn ID PRODUCT [EXPIRY] [MARK]   | left ID
+//!     ended ID/LEG APPLIANCE ENDING TOOK [closed] | stage BUILD STAGE COURSE CAP     | voted ENDING
+//!     burst MANY PRODUCT                   so many txns in one round
+//!     restart                              the agent dies and comes back
+//!     flow MS PRODUCT SHARES               until then a txn every 10 ms, answered after 50 ms; of SHARES, as
+//!                                          BUILD=N or @ID=N, every Nth fails
+//!     expect DECISION / never DECISION     what was, or was not, decided in this round (in the flow, after one)
+//!     most N DECISION                      so often at most since the start
+//!     test X-BAD X-ALL Y-BAD Y-ALL p P     the statistic alone, at theta0 0.02, tau 0.1, alpha 0.05
+use std::collections::{BTreeMap, VecDeque};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use lilacgate::brain::{Brain, Test};
+use lilacgate::parts::*;
+use lilacgate::port::*;
+use rstest::rstest;
+
+#[derive(Default)]
+struct Written {
+    now: Vec<String>,
+    ever: Vec<String>,
+    out: VecDeque<(TxnId, Leg, ApplianceId)>,
+    legs: BTreeMap<TxnId, u8>,
+}
+
+impl Written {
+    fn put(&mut self, text: String) {
+        self.now.push(text.clone());
+        self.ever.push(text);
+    }
+}
+
+impl Decisions for Written {
+    fn submit(&mut self, id: TxnId, to: ApplianceId, _: Duration) {
+        self.put(format!("submit {} {}", id.0, to.0));
+        let leg = self.legs.entry(id).or_default();
+        self.out.push_back((id, Leg(*leg), to));
+        *leg += 1;
+    }
+    fn decline(&mut self, id: TxnId, _: Duration) {
+        self.put(format!("decline {}", id.0));
+    }
+    fn void(&mut self, id: TxnId) {
+        self.put(format!("void {}", id.0));
+    }
+    fn call_off(&mut self, id: TxnId, leg: Leg) {
+        self.put(format!("call-off {}/{}", id.0, leg.0));
+    }
+    fn wake(&mut self, _: Duration, _: Ticket) {}
+    fn probe(&mut self, _: ApplianceId) {}
+    fn free_links(&mut self, _: ApplianceId) {}
+    fn tell(&mut self, _: Option<AgentId>, _: &[u8]) {
+        self.put("tell".into());
+    }
+    fn log(&mut self, text: &str) {
+        println!("{text}");
+    }
+    fn watch_roster(&mut self, _: bool) {
+        self.put("watch".into());
+    }
+    fn fetch_roster(&mut self) {}
+    fn vote(&mut self, build: Build, stage: Stage, verdict: Verdict) {
+        self.put(format!("vote {} {} {verdict:?}", build.0, stage.0).to_lowercase());
+    }
+}
+
+fn ms(text: &str) -> Duration {
+    Duration::from_millis(text.parse().expect("milliseconds"))
+}
+
+fn ending(text: &str) -> Ending {
+    match text {
+        "served" => Ending::Served,
+        "failed" => Ending::Failed,
+        "turned-away" => Ending::TurnedAway,
+        "timed-out" => Ending::TimedOut,
+        "unconnected" => Ending::Unconnected,
+        "called-off" => Ending::CalledOff,
+        other => panic!("no ending {other}"),
+    }
+}
+
+struct Play {
+    now: Duration,
+    set: BTreeMap<String, f64>,
+    products: Vec<Terms>,
+    lines: BTreeMap<u32, Line>,
+    brain: Option<Brain>,
+    written: Written,
+    flowing: u32,
+}
+
+impl Play {
+    fn brain(&self) -> Brain {
+        let set = |key: &str, usual: f64| self.set.get(key).copied().unwrap_or(usual);
+        let span = |key, usual| Duration::from_secs_f64(set(key, usual) / 1000.0);
+        let asks = set("asks", 0.0) > 0.0;
+        let roster = Roster::new(Zone(0), asks.then_some(Duration::from_secs(10)));
+        let thaw = Thaw::new(0.34, span("ramp", 4000.0), 2.5, Duration::from_secs(1));
+        let tick = Duration::from_millis(5);
+        let per_product = set("per-product", 0.0) > 0.0;
+        let guarded = set("guarded", 0.0) as u8;
+        let forward_only = set("forward-only", 0.0) > 0.0;
+        let free = set("free", 2.0);
+        let exposure =
+            Exposure::new(Duration::from_secs(4), tick, free, 0.1, per_product, guarded, forward_only);
+        let calls = Calls { lasts: Duration::from_secs(6), wait: Duration::from_secs(1) };
+        let gate = if set("clocked", 0.0) > 0.0 { Gate::Clocked } else { Gate::Single };
+        let rings = vec![0.05, 0.2, 0.5, 1.0];
+        let dwell = Duration::from_millis(1500);
+        let jury = Jury::new(gate, rings, dwell, calls, true, true, self.products.len());
+        let second = set("second-copies", 0.0) > 0.0;
+        let desk = Desk::new(self.products.clone(), 3, second, true, Duration::from_secs(1), tick);
+        Brain::new(7, roster, thaw, exposure, jury, desk)
+    }
+
+    fn round(&mut self, intake: impl FnOnce(&mut dyn Hears)) {
+        let mut brain = self.brain.take().unwrap_or_else(|| self.brain());
+        brain.round(self.now, intake, &mut self.written);
+        self.brain = Some(brain);
+    }
+
+    fn txn(&self, product: &str, expiry: Duration, mark: Option<&&str>) -> Txn {
+        let product = Product(product.parse().expect("a product"));
+        let mark = mark.map(|m| Mark(m.parse().expect("a mark")));
+        let hint = Some(Duration::from_millis(50));
+        Txn { product, tenant: Tenant(0), mark, expiry, hint, repeated: false }
+    }
+
+    fn roster(&mut self, kind: &str, entries: &[&str]) {
+        let listing = match kind {
+            "whole" => Listing::Whole,
+            "changes" => Listing::Changes,
+            "saved" => Listing::Saved,
+            _ => Listing::Failed,
+        };
+        let now = self.now;
+        let lines: Vec<Line> = entries.iter().map(|e| line(e, now)).collect();
+        self.lines.extend(lines.iter().map(|l| (l.appliance.0, *l)));
+        self.round(|ear| ear.roster(listing, &mut lines.into_iter()));
+    }
+
+    /// A txn every 10 ms and the answers due; no queue, no load: just a script of outcomes.
+    fn flow(&mut self, until: Duration, product: &str, fails: &BTreeMap<String, u32>) {
+        let mut due: VecDeque<(Duration, TxnId, Leg, ApplianceId)> = VecDeque::new();
+        self.written.out.clear();
+        let mut count: BTreeMap<String, u32> = BTreeMap::new();
+        while self.now < until {
+            self.now += Duration::from_millis(10);
+            self.flowing += 1;
+            let id = TxnId(1_000_000 + self.flowing);
+            let txn = self.txn(product, self.now + Duration::from_secs(2), None);
+            let mut answers = Vec::new();
+            while due.front().is_some_and(|(at, ..)| *at <= self.now) {
+                let (_, txn, leg, to) = due.pop_front().expect("due");
+                let build = self.lines[&to.0].build.0.to_string();
+                let bad = [build, format!("@{}", to.0)].into_iter().any(|key| {
+                    let many = count.entry(key.clone()).or_default();
+                    *many += 1;
+                    fails.get(&key).is_some_and(|n| many.is_multiple_of(*n))
+                });
+                answers.push((txn, leg, to, if bad { Ending::Failed } else { Ending::Served }));
+            }
+            self.written.now.clear();
+            self.round(|ear| {
+                for (id, leg, to, ending) in answers {
+                    ear.ended(id, leg, to, ending, Duration::from_millis(50), ending == Ending::Served);
+                }
+                ear.txn(id, txn);
+            });
+            let at = self.now + Duration::from_millis(50);
+            due.extend(self.written.out.drain(..).map(|(id, leg, to)| (at, id, leg, to)));
+        }
+    }
+
+    fn step(&mut self, words: &[&str]) {
+        match words {
+            ["set", key, value] => drop(self.set.insert(key.to_string(), value.parse().expect("a number"))),
+            ["product", kind, sla, group @ ..] => {
+                let repeat = match (*kind, group) {
+                    ("referenced", ["all", ..]) => Repeat::Referenced(Group::All),
+                    ("referenced", ["zone", ..]) => Repeat::Referenced(Group::Zone),
+                    ("once", _) => Repeat::OnceOnly,
+                    _ => Repeat::InquiryLike,
+                };
+                let remembered = group.get(1).map_or(Duration::ZERO, |m| ms(m));
+                let (sla, expiry) = (ms(sla), ms(sla) * 4);
+                self.products.push(Terms { repeat, sla, expiry, remembered, revenue: 1.0, late_share: 0.0 });
+            }
+            ["at", at] => {
+                self.now = ms(at);
+                self.written.now.clear();
+                self.round(|_| {});
+            }
+            ["roster", kind, entries @ ..] => self.roster(kind, entries),
+            ["txn", id, product, rest @ ..] => {
+                let expiry = rest.first().map_or(self.now + Duration::from_secs(2), |e| ms(e));
+                let txn = self.txn(product, expiry, rest.get(1));
+                self.round(|ear| ear.txn(TxnId(id.parse().expect("an id")), txn));
+            }
+            ["burst", many, product] => {
+                let txn = self.txn(product, self.now + Duration::from_secs(2), None);
+                let many = many.parse().expect("a number");
+                self.round(|ear| (0..many).for_each(|i| ear.txn(TxnId(2_000_000 + i), txn)));
+            }
+            ["left", id] => self.round(|ear| ear.client_left(TxnId(id.parse().expect("an id")))),
+            ["ended", leg, at, how, took, closed @ ..] => {
+                let (id, leg) = leg.split_once('/').expect("ID/LEG");
+                let (id, leg) = (TxnId(id.parse().expect("an id")), Leg(leg.parse().expect("a leg")));
+                let (at, took, how) = (ApplianceId(at.parse().expect("an id")), ms(took), ending(how));
+                self.round(|ear| ear.ended(id, leg, at, how, took, !closed.is_empty()));
+            }
+            ["stage", build, stage, course, cap] => {
+                let course = match *course {
+                    "trial" => Course::OnTrial,
+                    "back" => Course::GoingBack,
+                    "released" => Course::Released,
+                    _ => Course::Withdrawn,
+                };
+                let (build, stage) =
+                    (Build(build.parse().expect("a build")), Stage(stage.parse().expect("a stage")));
+                let cap = cap.parse().expect("a cap");
+                self.round(|ear| ear.stage(build, stage, course, cap, Duration::ZERO));
+            }
+            ["voted", how] => self.round(|ear| ear.vote_answered(ending(how))),
+            ["restart"] => self.brain = None,
+            ["flow", until, product, fails @ ..] => {
+                let pair = |f: &&str| f.split_once('=').map(|(b, n)| (b.to_string(), n.parse().expect("N")));
+                let fails = fails.iter().filter_map(pair).collect();
+                self.flow(ms(until), product, &fails);
+            }
+            ["expect", rest @ ..] => assert!(self.seen(rest), "not in {:?}", self.written.now),
+            ["never", rest @ ..] => assert!(!self.seen(rest), "in {:?}", self.written.now),
+            ["ever", rest @ ..] => assert!(self.times(rest) > 0, "never since the start"),
+            ["most", many, rest @ ..] => {
+                let (many, seen) = (many.parse::<usize>().expect("a number"), self.times(rest));
+                assert!(seen <= many, "seen {seen} times, last {:?}", self.written.now);
+            }
+            ["test", xb, xn, yb, yn, "p", p] => {
+                let [xb, xn, yb, yn] = [xb, xn, yb, yn].map(|n| n.parse::<u32>().expect("a count"));
+                let mut test = Test::new(0.02, 0.1, 0.05);
+                (0..xn).for_each(|i| test.observe(None, f64::from(u8::from(i < xb))));
+                (0..yn).for_each(|i| test.observe(Some(ApplianceId(1)), f64::from(u8::from(i >= yn - yb))));
+                let p: f64 = p.parse().expect("a number");
+                assert!((test.p() - p).abs() < 1e-4, "p is {}", test.p());
+            }
+            _ => panic!("no such step"),
+        }
+    }
+
+    fn seen(&self, words: &[&str]) -> bool {
+        self.written.now.iter().any(|line| fits(line, words))
+    }
+
+    fn times(&self, words: &[&str]) -> usize {
+        self.written.ever.iter().filter(|line| fits(line, words)).count()
+    }
+}
+
+/// Whether a decision begins with these words; `*` stands for any.
+fn fits(line: &str, words: &[&str]) -> bool {
+    let got: Vec<&str> = line.split(' ').collect();
+    got.len() >= words.len() && words.iter().zip(got).all(|(want, got)| *want == "*" || *want == got)
+}
+
+fn line(entry: &str, now: Duration) -> Line {
+    let mut parts = entry.split(':');
+    let mut next = || parts.next();
+    let appliance = ApplianceId(next().and_then(|p| p.parse().ok()).expect("an id"));
+    let mode = match next() {
+        Some("ready") => Mode::Ready,
+        Some("draining") => Mode::Draining,
+        _ => Mode::Gone,
+    };
+    let build = Build(next().and_then(|p| p.parse().ok()).expect("a build"));
+    let started = next().filter(|a| !a.is_empty()).map(|age| now.saturating_sub(ms(age)));
+    let zone = Zone(next().map_or(0, |z| z.parse().expect("a zone")));
+    Line { appliance, mode, model: Model(0), weight: 1.0, started, build, cell: Cell(0), zone }
+}
+
+#[rstest]
+fn scenario(#[files("tests/scenarios/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("a scenario");
+    let mut play = Play {
+        now: Duration::ZERO,
+        set: BTreeMap::new(),
+        products: Vec::new(),
+        lines: BTreeMap::new(),
+        brain: None,
+        written: Written::default(),
+        flowing: 0,
+    };
+    for (i, line) in text.lines().enumerate() {
+        let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+        if words.is_empty() {
+            continue;
+        }
+        println!("{}:{}: {line}", path.display(), i + 1);
+        play.step(&words);
+    }
+}
