Lost capacity convicts on trial only, with a past, traffic and a queue; no queue in the first second

Cause: slowdowns that began after the release, and a small agent's thin start, sent good builds back.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -125,7 +125,8 @@
 
 /// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to convict a
 /// build that slows old and new alike: there Y - X stays near 0. Half of it holds the on. As these sums fade by
-/// half in [`USUAL`], shorter slowdowns of other causes pass; a longer one is mistaken for the build.
+/// half in [`USUAL`], shorter slowdowns of other causes pass; a longer one is mistaken for the build. What begins
+/// only after the release does not come from it: its share of the traffic had been growing before.
 const LOST: f64 = 0.35;
 
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
@@ -220,7 +221,7 @@
         }
         let grave = if course == Course::Released { GRAVE } else { 0.0 };
         let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
-        if self.own.tests.iter().any(worse) || lost > LOST {
+        if self.own.tests.iter().any(worse) || (lost > LOST && course == Course::OnTrial) {
             return Some(Verdict::Back);
         }
         if course != Course::OnTrial {
@@ -350,8 +351,9 @@
         let (borne, weight) = self.demand.borne.read(now, USUAL);
         let (served, taken) = self.demand.met.read(now, USUAL);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
-        self.stock.lost =
-            if self.jury.own.bore > 0.0 { 1.0 - kept.max(served / taken.max(1e-9)) } else { 0.0 };
+        // Only of an agent with a past to compare with, enough traffic to tell, and a queue now.
+        let sure = self.jury.own.bore > 0.0 && taken > 5.0 * ENOUGH && self.crowding() > 0.15;
+        self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
@@ -418,11 +420,20 @@
     /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is served.
     /// A few idle txns beside what was measured keep little traffic from looking like a queue.
     fn queue(&self, of: Duration) -> f64 {
+        // Nothing can have been served yet by an agent that has just come up.
+        if self.exposure.windows.started.is_none_or(|s| self.now < s + RECENT) {
+            return 0.0;
+        }
         let (few, idle) = (4.0, self.stock.usual_work);
         let wait = (self.roster.fleet.out() as f64 + few) / (self.stock.served + few / idle);
         (wait - idle) / of.as_secs_f64().max(1e-6)
     }
 
+    /// The same for the product with the tightest SLA time.
+    fn crowding(&self) -> f64 {
+        self.desk.products.iter().map(|t| self.queue(t.sla)).fold(0.0, f64::max)
+    }
+
     /// Mean hinted work of a product, in seconds.
     fn typical(&self, p: Product) -> f64 {
         self.demand.work(self.now, USUAL, |q| q == p).unwrap_or(self.stock.usual_work)
