--- a/src/brain.rs
+++ b/src/brain.rs
@@ -481,7 +481,10 @@
             {
                 continue;
             }
-            listed[arm] += weight;
+            // Listed sizes leave out how fast a model is; its pace at earlier builds keeps slow models of the trial
+            // from queueing, which would look like a slow build.
+            let model = self.jury.own.paces.get(&a.line.model).copied().unwrap_or(self.stock.usual_pace);
+            listed[arm] += weight / model.max(1e-3);
             // Its own pace in the long run, drawn to that of all while it is little known.
             let (took, worked) = a.record.usual.read(now, USUAL);
             let usual = ((took + self.stock.usual_pace) / (worked + 1.0)).max(1e-3);
