--- a/src/brain.rs
+++ b/src/brain.rs
@@ -460,7 +460,7 @@
             self.roster.fleet.ready().fold((0, 0), |(s, n), (_, a)| (s + usize::from(a.barred()), n + 1));
         let panic = 2 * sick > all;
         let mut arms: [Vec<(ApplianceId, f64, f64)>; 2] = Default::default();
-        let mut listed = [0.0; 2];
+        let (mut listed, mut out) = ([0.0; 2], [0.0; 2]);
         let mut permitted = BTreeMap::new();
         for (aid, a) in self.roster.fleet.ready() {
             let weight = a.weight() * self.thaw.warmth(a.age(now));
@@ -485,6 +485,7 @@
             // from queueing, which would look like a slow build.
             let model = self.jury.own.paces.get(&a.line.model).copied().unwrap_or(self.stock.usual_pace);
             listed[arm] += weight / model.max(1e-3);
+            out[arm] += a.out.len() as f64;
             // Its own pace in the long run, drawn to that of all while it is little known.
             let (took, worked) = a.record.usual.read(now, USUAL);
             let usual = ((took + self.stock.usual_pace) / (worked + 1.0)).max(1e-3);
@@ -493,7 +494,10 @@
         }
         // A txn that the trial build has failed is better served by an earlier one.
         let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
-        let share = if failed_there { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
+        // Nor does the trial get its share while more waits there, for its size, than elsewhere: arms under
+        // unlike load cannot be compared. Guards against few, slow machines that queue and look like a slow build.
+        let queued = out[1] * listed[0] > 1.5 * (out[0] + 1.0) * listed[1] && listed[0] > 0.0;
+        let share = if failed_there || queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
         let arm = usize::from(self.chance.random::<f64>() < share);
         let arm = if arms[arm].is_empty() { 1 - arm } else { arm };
         let (one, two) = (arms[arm].choose_weighted(&mut self.chance, |c| c.1), &arms[arm]);
