--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,8 @@
 //! All decisions of an agent. Make the parts from what the deployment is told at its start, put them
-//! together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; decisions go
-//! straight into the writer passed along. What is heard and decided is defined in `port.rs`, what is remembered
-//! in `state.rs`, and `parts.rs` has the parts' settings; why things are decided so, in `docs/design.md`.
+//! together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; decisions
+//! go straight into the writer passed along. What is heard and decided is defined in `port.rs`, what is
+//! remembered in `state.rs`, and `parts.rs` has the parts' settings; why things are decided so, in
+//! `docs/design.md`.
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -18,8 +19,8 @@
 /// What is usual fades by half in this long.
 const USUAL: Duration = Duration::from_secs(10);
 
-/// Its own pace, drawn to the usual one while it has answered little of late. Silence counts before any answer
-/// does, unless what was sent later has come back.
+/// Its own pace, drawn to the usual one while it has answered little of late. Silence counts before any
+/// answer does, unless what was sent later has come back.
 fn pace(a: &Appliance, now: Duration, stock: &Stock) -> f64 {
     let (took, worked) = a.record.recent.read(now, RECENT);
     let prior = 2.0 * stock.usual_work;
@@ -123,10 +124,11 @@
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
-/// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to convict a
-/// build that slows old and new alike: there Y - X stays near 0. Half of it holds the on. As these sums fade by
-/// half in [`USUAL`], shorter slowdowns of other causes pass; a longer one is mistaken for the build. What begins
-/// only after the release does not come from it: its share of the traffic had been growing before.
+/// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to
+/// convict a build that slows old and new alike: there Y - X stays near 0. Half of it holds the on. As
+/// these sums fade by half in half of [`USUAL`], shorter slowdowns of other causes pass; a longer one is
+/// mistaken for the build. What begins only after the release does not come from it: its share of the
+/// traffic had been growing before.
 const LOST: f64 = 0.35;
 
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
@@ -189,9 +191,9 @@
         self.y.0 >= ENOUGH && self.estimate() > self.theta0 && self.everywhere()
     }
 
-    /// Whether the trial is worse also without the quarter of its appliances that look worst. Guards against
-    /// failing or slow machines and noisy neighbours that happen to carry the build: a build is bad wherever it
-    /// runs. It harms where only one machine will ever carry it.
+    /// Whether the trial is worse also without the quarter of its appliances that look worst. Guards
+    /// against failing or slow machines and noisy neighbours that happen to carry the build: a build is bad
+    /// wherever it runs. It harms where only one machine will ever carry it.
     fn everywhere(&self) -> bool {
         let mut by: Vec<_> = self.by.values().copied().collect();
         by.sort_by(|a, b| (b.1 / b.0).total_cmp(&(a.1 / a.0)));
@@ -237,8 +239,8 @@
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max()?;
         // The list runs late: a stage whose machines it does not show yet has not begun to wait.
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
-        // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again. Guards
-        // against agents with little traffic that wave on what a larger one is about to convict.
+        // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again.
+        // Guards against agents with little traffic that wave on what a larger one is about to convict.
         let wait = self.dwell * 5 / 2 * if doubt { 3 } else { 1 };
         (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
     }
@@ -332,7 +334,9 @@
     fn take_stock(&mut self, passed: Duration) {
         let now = self.now;
         let fleet = &self.roster.fleet;
-        self.demand.borne.add(now, USUAL, 0.0, fleet.weight() * passed.as_secs_f64());
+        let listed = fleet.weight() * passed.as_secs_f64();
+        self.demand.borne.add(now, USUAL, 0.0, listed);
+        self.demand.bears.add(now, USUAL / 2, 0.0, listed);
         self.stock.usual_pace = fleet.pace(now, USUAL, |_| true).unwrap_or(1.0);
         self.stock.usual_work = self.demand.work(now, USUAL, |_| true).unwrap_or(1e-3).max(1e-4);
         let mut paces: Vec<f64> = fleet.ready().map(|(_, a)| pace(a, now, &self.stock)).collect();
@@ -348,11 +352,11 @@
         }
         self.stock.served =
             self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
-        let (borne, weight) = self.demand.borne.read(now, USUAL);
-        let (served, taken) = self.demand.met.read(now, USUAL);
+        let (borne, weight) = self.demand.bears.read(now, USUAL / 2);
+        let (served, taken) = self.demand.met.read(now, USUAL / 2);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
         // Only of an agent with a past to compare with, enough traffic to tell, and a queue now.
-        let sure = self.jury.own.bore > 0.0 && taken > 5.0 * ENOUGH && self.crowding() > 0.15;
+        let sure = self.jury.own.bore > 0.0 && taken > 2.5 * ENOUGH && self.crowding() > 0.15;
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
@@ -382,14 +386,15 @@
             if !more || sla_left.is_zero() || h.out().count() > 1 || now < sent + usual {
                 return;
             }
-            let spare = 0.1 * self.demand.met.read(now, USUAL).1 > 1.0 + self.demand.second.read(now, USUAL);
+            let spare =
+                0.1 * self.demand.met.read(now, USUAL / 2).1 > 1.0 + self.demand.second.read(now, USUAL / 2);
             if !self.desk.second_copies {
                 if lost && self.desk.may_call_off && !called_off {
                     h.legs[usize::from(leg.0)].called_off = true;
                     out.call_off(id, leg);
                 }
             } else if spare && let Some(to) = self.choose(id) {
-                self.demand.second.add(now, USUAL, 1.0);
+                self.demand.second.add(now, USUAL / 2, 1.0);
                 self.submit(id, to, out);
             }
             return;
@@ -405,10 +410,10 @@
         }
     }
 
-    /// Whether so much is out already that this txn would wait too long: the less it earns, the sooner. Guards
-    /// against queues everywhere (bursts, lost machines, shared slowdowns, retry storms). What is out, over what
-    /// is served a second, tells the wait before any answer does, and ends with it. It harms if SLA times are
-    /// tighter than an idle appliance can keep.
+    /// Whether so much is out already that this txn would wait too long: the less it earns, the sooner.
+    /// Guards against queues everywhere (bursts, lost machines, shared slowdowns, retry storms). What is
+    /// out, over what is served a second, tells the wait before any answer does, and ends with it. It harms
+    /// if SLA times are tighter than an idle appliance can keep.
     fn crowded(&mut self, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
         let pressure = self.queue(sla_left);
@@ -417,8 +422,8 @@
         self.chance.random::<f64>() < f64::max((pressure - from) / 0.25, full / (ended + 1.0))
     }
 
-    /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is served.
-    /// A few idle txns beside what was measured keep little traffic from looking like a queue.
+    /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is
+    /// served. A few idle txns beside what was measured keep little traffic from looking like a queue.
     fn queue(&self, of: Duration) -> f64 {
         // Nothing can have been served yet by an agent that has just come up.
         if self.exposure.windows.started.is_none_or(|s| self.now < s + RECENT) {
@@ -481,8 +486,8 @@
             {
                 continue;
             }
-            // Listed sizes leave out how fast a model is; its pace at earlier builds keeps slow models of the trial
-            // from queueing, which would look like a slow build.
+            // Listed sizes leave out how fast a model is; its pace at earlier builds keeps slow models of
+            // the trial from queueing, which would look like a slow build.
             let model = self.jury.own.paces.get(&a.line.model).copied().unwrap_or(self.stock.usual_pace);
             listed[arm] += weight / model.max(1e-3);
             out[arm] += a.out.len() as f64;
@@ -495,7 +500,8 @@
         // A txn that the trial build has failed is better served by an earlier one.
         let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
         // Nor does the trial get its share while more waits there, for its size, than elsewhere: arms under
-        // unlike load cannot be compared. Guards against few, slow machines that queue and look like a slow build.
+        // unlike load cannot be compared. Guards against few, slow machines that queue and look like a slow
+        // build.
         let queued = out[1] * listed[0] > 1.5 * (out[0] + 1.0) * listed[1] && listed[0] > 0.0;
         let share = if failed_there || queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
         let arm = usize::from(self.chance.random::<f64>() < share);
@@ -537,10 +543,11 @@
         out.submit(id, to, Duration::ZERO);
     }
 
-    /// Hands an outcome to the tests. What is no answer, or was turned away, says nothing of the build: a machine
-    /// may have died, frozen or been cut off, a queue may be full. Slowness counts only while the fleet is not
-    /// crowded and, at the trial build, beside an earlier one under the same load. Guards against bursts, cold
-    /// starts, dead machines and shared slowdowns; a build that is bad only under pressure is seen later for it.
+    /// Hands an outcome to the tests. What is no answer, or was turned away, says nothing of the build: a
+    /// machine may have died, frozen or been cut off, a queue may be full. Slowness counts only while the
+    /// fleet is not crowded and, at the trial build, beside an earlier one under the same load. Guards
+    /// against bursts, cold starts, dead machines and shared slowdowns; a build that is bad only under
+    /// pressure is seen later for it.
     fn judge(&mut self, at: ApplianceId, o: &Out, ending: Ending, took: Duration, alive: bool) {
         let Some(terms) = self.desk.products.get(usize::from(o.product.0)) else { return };
         if o.mute || self.jury.own.tests.is_empty() {
@@ -584,7 +591,7 @@
         let now = self.now;
         let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
         self.exposure.windows.taken.push_back((now, txn.product));
-        self.demand.met.add(now, USUAL, 0.0, 1.0);
+        self.demand.met.add(now, USUAL / 2, 0.0, 1.0);
         if let Some(hint) = txn.hint {
             self.demand.hints.entry(txn.product).or_default().add(now, USUAL, hint.as_secs_f64(), 1.0);
         }
--- a/src/port.rs
+++ b/src/port.rs
@@ -186,8 +186,8 @@
     pub zone: Zone,
 }
 
-/// Everything an agent can hear in a round, one method an event, in the order of the events. What a module has
-/// no use for, it need not hear.
+/// Everything an agent can hear in a round, one method an event, in the order of the events. What a module
+/// has no use for, it need not hear.
 pub trait Hears {
     fn txn(&mut self, id: TxnId, txn: Txn);
     fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool);
--- a/src/state.rs
+++ b/src/state.rs
@@ -178,6 +178,8 @@
     pub(crate) hints: BTreeMap<Product, Ratio>,
     /// Served work, and listed weight x time: what a unit of weight is seen to bear.
     pub(crate) borne: Ratio,
+    /// The same over a shorter time.
+    pub(crate) bears: Ratio,
     /// Submissions served of late.
     pub(crate) lately: Fading,
     /// Submissions turned away unseen, and all that ended.
@@ -198,7 +200,8 @@
     pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), work: f64) {
         self.lately.add(now, halves.0, 1.0);
         self.borne.add(now, halves.1, work, 0.0);
-        self.met.add(now, halves.1, 1.0, 0.0);
+        self.bears.add(now, halves.1 / 2, work, 0.0);
+        self.met.add(now, halves.1 / 2, 1.0, 0.0);
     }
 }
 
