--- a/src/brain.rs
+++ b/src/brain.rs
@@ -121,6 +121,8 @@
 const GRAVE: f64 = 0.1;
 /// Level of the test, before it is divided among the tests.
 const ALPHA: f64 = 0.2;
+/// From the newest trial appliance's start to the on: the design's 3 s, and some for a clock that starts late.
+const WAIT: Duration = Duration::from_millis(3400);
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
@@ -241,7 +243,7 @@
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
         // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again.
         // Guards against agents with little traffic that wave on what a larger one is about to convict.
-        let wait = self.dwell * 5 / 2 * if doubt { 3 } else { 1 };
+        let wait = WAIT * if doubt { 3 } else { 1 };
         (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
