--- a/src/brain.rs
+++ b/src/brain.rs
@@ -118,11 +118,12 @@
 const TAU: f64 = 0.05;
 const THETA0: f64 = 0.005;
 /// After the release, going back costs some time without service: not for less than this.
-const GRAVE: f64 = 0.1;
+const GRAVE: f64 = 0.05;
 /// Level of the test, before it is divided among the tests.
 const ALPHA: f64 = 0.2;
-/// From the newest trial appliance's start to the on: the design's 3 s, and some for a clock that starts late.
-const WAIT: Duration = Duration::from_millis(3400);
+/// From the newest trial appliance's start to the on: the design's 3 s, and some for a clock that starts
+/// late.
+const WAIT: Duration = Duration::from_millis(3500);
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
@@ -142,7 +143,7 @@
     y: (f64, f64),
     /// The trial outcomes by appliance.
     by: BTreeMap<ApplianceId, (f64, f64)>,
-    p: f64,
+    pub p: f64,
     interval: (f64, f64),
 }
 
@@ -152,10 +153,6 @@
         Test { theta0, tau, alpha, x, y, by, p: 1.0, interval }
     }
 
-    pub fn p(&self) -> f64 {
-        self.p
-    }
-
     fn estimate(&self) -> f64 {
         self.y.1 / self.y.0.max(1.0) - self.x.1 / self.x.0.max(1.0)
     }
@@ -231,7 +228,7 @@
         if course != Course::OnTrial {
             return None;
         }
-        let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0 || now < self.own.warned;
+        let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0;
         if self.gate == Gate::Clocked {
             return (doubt && now < news.since + self.dwell * 4 / 3).then_some(Verdict::Hold);
         }
@@ -241,9 +238,18 @@
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max()?;
         // The list runs late: a stage whose machines it does not show yet has not begun to wait.
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
-        // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again.
-        // Guards against agents with little traffic that wave on what a larger one is about to convict.
-        let wait = WAIT * if doubt { 3 } else { 1 };
+        // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again,
+        // and over failures longer still: a good build has none. Guards against agents with little traffic
+        // that wave on what a larger one is about to convict.
+        let failing = self.own.tests.iter().rev().skip(1).any(Test::doubtful) || now < self.own.warned;
+        let wait = WAIT
+            * if failing {
+                6
+            } else if doubt {
+                3
+            } else {
+                1
+            };
         (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -248,7 +248,7 @@
                 (0..xn).for_each(|i| test.observe(None, f64::from(u8::from(i < xb))));
                 (0..yn).for_each(|i| test.observe(Some(ApplianceId(1)), f64::from(u8::from(i >= yn - yb))));
                 let p: f64 = p.parse().expect("a number");
-                assert!((test.p() - p).abs() < 1e-4, "p is {}", test.p());
+                assert!((test.p - p).abs() < 1e-4, "p is {}", test.p);
             }
             _ => panic!("no such step"),
         }
