An agent that stood still takes nothing of that time for evidence

Cause: agents that pause for seconds took their own pauses for slow appliances and lost capacity and sent a good build back. Should also hold against a starved or suspended process; could hide real trouble at an agent that never gets its rounds in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,11 +29,6 @@
     stalled.max((took + prior * stock.usual_pace) / (worked + prior))
 }
 
-fn failing(a: &Appliance, now: Duration) -> f64 {
-    let (fails, answers) = a.record.fails.read(now, RECENT);
-    fails / (answers + 1.0)
-}
-
 /// Leaves an appliance alone for a while, twice as long each time in a row.
 fn strike(record: &mut Record, now: Duration) {
     if now >= record.barred_until {
@@ -75,13 +70,6 @@
         let budget = 0.9 * self.multiple * warmth * fair_rate * self.span.as_secs_f64();
         sent + work <= budget || (sent == 0.0 && a.out.is_empty())
     }
-
-    fn note(&self, now: Duration, a: &mut Appliance, work: f64) {
-        if self.warmth(a.age(now)) < 1.0 {
-            a.pushed.retain(|(t, _)| *t + self.span >= now);
-            a.pushed.push_back((now, work));
-        }
-    }
 }
 
 impl Exposure {
@@ -128,10 +116,9 @@
 const ENOUGH: f64 = 20.0;
 
 /// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to
-/// convict a build that slows old and new alike: there Y - X stays near 0. Half of it holds the on. As
-/// these sums fade by half in half of [`USUAL`], shorter slowdowns of other causes pass; a longer one is
-/// mistaken for the build. What begins only after the release does not come from it: its share of the
-/// traffic had been growing before.
+/// convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums fade
+/// by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build. What
+/// begins only after the release is not its work.
 const LOST: f64 = 0.35;
 
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
@@ -191,8 +178,8 @@
     }
 
     /// Whether the trial is worse also without the quarter of its appliances that look worst. Guards
-    /// against failing or slow machines and noisy neighbours that happen to carry the build: a build is bad
-    /// wherever it runs. It harms where only one machine will ever carry it.
+    /// against bad machines and noisy neighbours that happen to carry the build: a build is bad wherever it
+    /// runs. It harms where only one machine will ever carry it.
     fn everywhere(&self) -> bool {
         let mut by: Vec<_> = self.by.values().copied().collect();
         by.sort_by(|a, b| (b.1 / b.0).total_cmp(&(a.1 / a.0)));
@@ -236,11 +223,11 @@
         let (trial, early): (Vec<_>, Vec<_>) = roster.fleet.ready().partition(|(_, a)| a.line.build == build);
         let places = early.len() + if self.rolling { trial.len() } else { 0 };
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max()?;
-        // The list runs late: a stage whose machines it does not show yet has not begun to wait.
+        // The list runs late: a stage whose machines it does not show has not begun to wait.
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
-        // While an agent doubts, it and those it told wait for more outcomes, up to twice as long again,
-        // and over failures longer still: a good build has none. Guards against agents with little traffic
-        // that wave on what a larger one is about to convict.
+        // While an agent doubts, it and those it told wait for more outcomes; over failures, which a good
+        // build has not, longer still. Guards against agents that wave on what a larger one is about to
+        // convict.
         let failing = self.own.tests.iter().rev().skip(1).any(Test::doubtful) || now < self.own.warned;
         let wait = WAIT
             * if failing {
@@ -272,10 +259,9 @@
             }
         } else {
             let line = |t: &Test| format!("{:.0}:{:+.2} p{:.3}", t.y.0, t.estimate(), t.p);
-            let tests: Vec<_> = self.own.tests.iter().map(line).collect();
+            let tests = self.own.tests.iter().map(line).collect::<Vec<_>>().join(" ");
             let (build, stage) = (news.build.0, news.stage.0);
-            let head = format!("vote {verdict:?} on build {build} stage {stage} lost {lost:.2}");
-            out.log(&format!("{head} [{}]", tests.join(" ")));
+            out.log(&format!("vote {verdict:?} on build {build} stage {stage} lost {lost:.2} [{tests}]"));
         }
         self.own.vote = Some(Vote { ballot, sent: now, answer: None });
         out.vote(news.build, news.stage, verdict);
@@ -301,15 +287,17 @@
     desk: Desk,
     demand: Demand,
     wake_at: Duration,
+    /// Until when the agent itself last stood still.
+    woke: Duration,
     stock: Stock,
 }
 
 impl Brain {
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
-        let (now, wake_at, demand) = Default::default();
+        let (now, wake_at, woke, demand) = Default::default();
         let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, ..Stock::default() };
-        Brain { now, chance, roster, thaw, exposure, jury, desk, demand, wake_at, stock }
+        Brain { now, chance, roster, thaw, exposure, jury, desk, demand, wake_at, woke, stock }
     }
 
     /// Hears all that came in, then decides.
@@ -318,6 +306,12 @@
         // The clock may stand anywhere at the start.
         let started = *self.exposure.windows.started.get_or_insert(now);
         let passed = now.saturating_sub(before.max(started));
+        // A wake-up far too late: the agent, not the fleet, stood still. What was out meanwhile tells
+        // nothing. Guards against a starved or suspended agent that takes its own pauses for a bad build or
+        // bad machines.
+        if before >= started && now > self.wake_at + self.desk.tick * 20 {
+            self.woke = now;
+        }
         self.exposure.windows.trim(now.saturating_sub(self.exposure.span));
         intake(self);
         if self.roster.ask_at.take_if(|t| *t <= now).is_some() {
@@ -354,7 +348,9 @@
         // Guards against a machine that vanished, froze or was cut off, long before the list tells.
         let patience = 6.0 * self.stock.middle_pace * self.stock.usual_work;
         for a in self.roster.fleet.0.values_mut() {
-            if a.unheard_since().is_some_and(|o| now.saturating_sub(o).as_secs_f64() > patience) {
+            if a.unheard_since()
+                .is_some_and(|o| now.saturating_sub(o.max(self.woke)).as_secs_f64() > patience)
+            {
                 strike(&mut a.record, now);
             }
         }
@@ -364,7 +360,10 @@
         let (served, taken) = self.demand.met.read(now, USUAL / 2);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
         // Only of an agent with a past to compare with, enough traffic to tell, and a queue now.
-        let sure = self.jury.own.bore > 0.0 && taken > 2.5 * ENOUGH && self.crowding() > 0.15;
+        let sure = now > self.woke + USUAL / 2
+            && self.jury.own.bore > 0.0
+            && taken > 2.5 * ENOUGH
+            && self.crowding() > 0.15;
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
@@ -419,15 +418,14 @@
     }
 
     /// Whether so much is out already that this txn would wait too long: the less it earns, the sooner.
-    /// Guards against queues everywhere (bursts, lost machines, shared slowdowns, retry storms). What is
-    /// out, over what is served a second, tells the wait before any answer does, and ends with it. It harms
-    /// if SLA times are tighter than an idle appliance can keep.
+    /// Guards against queues everywhere (bursts, lost machines, shared slowdowns, retry storms), before any
+    /// late answer tells. It harms if SLA times are tighter than an idle appliance can keep.
     fn crowded(&mut self, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
         let pressure = self.queue(sla_left);
         let from = 0.15 + 0.1 * terms.revenue / most;
-        let (full, ended) = self.demand.full.read(self.now, RECENT);
-        self.chance.random::<f64>() < f64::max((pressure - from) / 0.25, full / (ended + 1.0))
+        let full = self.demand.full.share(self.now, RECENT, 1.0);
+        self.chance.random::<f64>() < f64::max((pressure - from) / 0.25, full)
     }
 
     /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is
@@ -447,11 +445,6 @@
         self.desk.products.iter().map(|t| self.queue(t.sla)).fold(0.0, f64::max)
     }
 
-    /// Mean hinted work of a product, in seconds.
-    fn typical(&self, p: Product) -> f64 {
-        self.demand.work(self.now, USUAL, |q| q == p).unwrap_or(self.stock.usual_work)
-    }
-
     fn give_up(&mut self, id: TxnId, out: &mut dyn Decisions) {
         let Some(h) = self.desk.held.remove(&id) else { return };
         let safe = matches!(h.terms.repeat, Repeat::InquiryLike | Repeat::Referenced(Group::All));
@@ -522,7 +515,7 @@
     /// What a txn may expect to wait there, against the others.
     fn cost(&self, a: &Appliance) -> f64 {
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 1.3 };
-        let pace = pace(a, self.now, &self.stock) / (1.0 - 0.9 * failing(a, self.now));
+        let pace = pace(a, self.now, &self.stock) / (1.0 - 0.9 * a.record.fails.share(self.now, RECENT, 1.0));
         pace * (1.0 + a.out.len() as f64) * across / a.weight().max(1e-3)
     }
 
@@ -539,7 +532,8 @@
         if self.exposure.bound(build).is_some() {
             self.exposure.windows.sent.push_back((now, txn.product, build));
         }
-        self.thaw.note(now, a, work);
+        a.pushed.retain(|(t, _)| *t + self.thaw.span >= now);
+        a.pushed.push_back((now, work));
         let leg = Leg(h.legs.len() as u8);
         let young =
             self.jury.own.build.is_some_and(|b| build >= b) && a.age(now) < Some(self.thaw.ramp * 9 / 8);
@@ -603,7 +597,8 @@
         if let Some(hint) = txn.hint {
             self.demand.hints.entry(txn.product).or_default().add(now, USUAL, hint.as_secs_f64(), 1.0);
         }
-        let work = txn.hint.map_or_else(|| self.typical(txn.product), |h| h.as_secs_f64()).max(1e-4);
+        let usual = || self.demand.work(now, USUAL, |p| p == txn.product).unwrap_or(self.stock.usual_work);
+        let work = txn.hint.map_or_else(usual, |h| h.as_secs_f64()).max(1e-4);
         self.desk.held.insert(id, Held { txn, terms, work, arrived: now, legs: Vec::new(), risk: None });
     }
 
@@ -616,8 +611,11 @@
             let build = a.line.build;
             let (served, full) = (ending == Ending::Served, ending == Ending::TurnedAway);
             self.demand.full.add(now, RECENT, f64::from(u8::from(full)), 1.0);
+            let blurred = o.sent < self.woke;
             if served {
-                a.record.served(now, (RECENT, USUAL), took, o.work);
+                if !blurred {
+                    a.record.served(now, (RECENT, USUAL), took, o.work);
+                }
                 self.demand.served(now, (RECENT, USUAL), o.work);
                 if now >= a.record.barred_until {
                     a.record.bar = Duration::ZERO;
@@ -635,9 +633,10 @@
             }
             // An appliance that fails far more than others of its build is left alone for a while. A build as
             // a whole is never barred: its failures are the test's evidence.
-            let fails = failing(a, now);
+            let fails = a.record.fails.share(now, RECENT, 1.0);
             let mates = self.roster.fleet.ready().filter(|(id, a)| *id != at && a.line.build == build);
-            let (many, sum) = mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + failing(a, now)));
+            let (many, sum) = mates
+                .fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.record.fails.share(now, RECENT, 1.0)));
             if !served
                 && many > 0.0
                 && fails > sum / many + 0.3
@@ -645,14 +644,13 @@
             {
                 strike(&mut a.record, now);
             }
-            self.judge(at, &o, ending, took, alive);
-            if served
-                && self.exposure.forward_only
-                && self.exposure.news.is_some_and(|n| o.build == n.build)
-                && let Some(mark) = self.desk.held.get(&id).and_then(|h| h.txn.mark)
-            {
-                self.exposure.windows.answered.insert(mark);
+            if !blurred {
+                self.judge(at, &o, ending, took, alive);
             }
+            let news =
+                self.exposure.news.filter(|n| served && self.exposure.forward_only && o.build == n.build);
+            let mark = self.desk.held.get(&id).and_then(|h| h.txn.mark);
+            self.exposure.windows.answered.extend(mark.filter(|_| news.is_some()));
         }
         if closed {
             self.desk.held.remove(&id);
@@ -681,11 +679,10 @@
 
     fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration) {
         let known = self.exposure.news;
-        if known.is_some_and(|n| build < n.build) {
-            return;
-        }
-        if known.is_none_or(|n| n.build != build) {
-            self.exposure.windows.answered.clear();
+        match known {
+            Some(n) if build < n.build => return,
+            Some(n) if build == n.build => {}
+            _ => self.exposure.windows.answered.clear(),
         }
         if course == Course::OnTrial && self.jury.own.build != Some(build) {
             // An agent that restarted amid a trial has no time before it to compare with.
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,12 @@
         (self.0.read(now, half), self.1.read(now, half))
     }
 
+    /// The first as a share of the second and something beside it.
+    pub(crate) fn share(&self, now: Duration, half: Duration, beside: f64) -> f64 {
+        let (over, under) = self.read(now, half);
+        over / (under + beside)
+    }
+
     pub(crate) fn add(&mut self, now: Duration, half: Duration, over: f64, under: f64) {
         self.0.add(now, half, over);
         self.1.add(now, half, under);
