--- a/src/brain.rs
+++ b/src/brain.rs
@@ -121,9 +121,6 @@
 /// begins only after the release is not its work.
 const LOST: f64 = 0.35;
 
-/// Wait beyond the work, as a share of the tightest SLA time, that counts as a queue.
-const QUEUE: f64 = 0.15;
-
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
 pub struct Test {
     theta0: f64,
@@ -197,31 +194,28 @@
         ALPHA / (self.products + 2) as f64
     }
 
-    fn begin(&mut self, build: Build, stock: &Stock, bore: f64) {
-        (self.own.build, self.own.calm, self.own.bore) = (Some(build), stock.usual_pace, bore);
-        self.own.queued = stock.queue > QUEUE;
+    fn begin(&mut self, build: Build, calm: f64, bore: f64) {
+        (self.own.build, self.own.calm, self.own.bore) = (Some(build), calm, bore);
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
         self.own.tests.push(Test::new(40.0 * THETA0, 6.0 * TAU, level));
     }
 
-    fn verdict(&self, now: Duration, roster: &Roster, news: News, stock: &Stock) -> Option<Verdict> {
+    fn verdict(&self, now: Duration, roster: &Roster, news: News, lost: f64) -> Option<Verdict> {
         let News { build, stage, course, .. } = news;
         if !matches!(course, Course::OnTrial | Course::Released) || self.own.build != Some(build) {
             return None;
         }
         let grave = if course == Course::Released { GRAVE } else { 0.0 };
         let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
-        if self.own.tests.iter().any(worse) || (stock.lost > LOST && course == Course::OnTrial) {
+        if self.own.tests.iter().any(worse) || (lost > LOST && course == Course::OnTrial) {
             return Some(Verdict::Back);
         }
         if course != Course::OnTrial {
             return None;
         }
-        let doubt = self.own.tests.iter().any(Test::doubtful) || stock.lost > LOST / 2.0;
-        // A queue that did not stand before the trial: no time to take machines out, whoever made it.
-        let doubt = doubt || (stock.queue > QUEUE && !self.own.queued);
+        let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0;
         if self.gate == Gate::Clocked {
             return (doubt && now < news.since + self.dwell * 4 / 3).then_some(Verdict::Hold);
         }
@@ -246,13 +240,13 @@
         (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
-    fn round(&mut self, now: Duration, roster: &Roster, news: News, stock: &Stock, out: &mut dyn Decisions) {
+    fn round(&mut self, now: Duration, roster: &Roster, news: News, lost: f64, out: &mut dyn Decisions) {
         let doubt = news.course == Course::OnTrial && self.own.tests.iter().any(Test::doubtful);
         if self.peers && doubt && self.own.build == Some(news.build) && now >= self.own.warn_at {
             self.own.warn_at = now + self.dwell / 2;
             out.tell(None, &news.build.0.to_be_bytes());
         }
-        let Some(verdict) = self.verdict(now, roster, news, stock) else { return };
+        let Some(verdict) = self.verdict(now, roster, news, lost) else { return };
         let ballot = (news.build, news.stage, verdict);
         if let Some(last) = self.own.vote.as_ref().filter(|v| v.ballot == ballot) {
             let again = match last.answer {
@@ -267,10 +261,7 @@
             let line = |t: &Test| format!("{:.0}:{:+.2} p{:.3}", t.y.0, t.estimate(), t.p);
             let tests = self.own.tests.iter().map(line).collect::<Vec<_>>().join(" ");
             let (build, stage) = (news.build.0, news.stage.0);
-            out.log(&format!(
-                "vote {verdict:?} on build {build} stage {stage} lost {:.2} [{tests}]",
-                stock.lost
-            ));
+            out.log(&format!("vote {verdict:?} on build {build} stage {stage} lost {lost:.2} [{tests}]"));
         }
         self.own.vote = Some(Vote { ballot, sent: now, answer: None });
         out.vote(news.build, news.stage, verdict);
@@ -333,7 +324,7 @@
             self.attend(id, out);
         }
         if let Some(news) = self.exposure.news {
-            self.jury.round(now, &self.roster, news, &self.stock, out);
+            self.jury.round(now, &self.roster, news, self.stock.lost, out);
         }
         // A beat, so that waits end without an event: short while txns are in hand.
         if self.wake_at <= now {
@@ -365,7 +356,6 @@
         }
         self.stock.served =
             self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
-        self.stock.queue = self.desk.products.iter().map(|t| self.queue(t.sla)).fold(0.0, f64::max);
         let (borne, weight) = self.demand.bears.read(now, USUAL / 2);
         let (served, taken) = self.demand.met.read(now, USUAL / 2);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
@@ -373,7 +363,7 @@
         let sure = now > self.woke + USUAL / 2
             && self.jury.own.bore > 0.0
             && taken > 2.5 * ENOUGH
-            && self.stock.queue > QUEUE;
+            && self.crowding() > 0.15;
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
         let Some(judged) = self.jury.own.build else { return };
         let fleet = &self.roster.fleet;
@@ -450,6 +440,11 @@
         (wait - idle) / of.as_secs_f64().max(1e-6)
     }
 
+    /// The same for the product with the tightest SLA time.
+    fn crowding(&self) -> f64 {
+        self.desk.products.iter().map(|t| self.queue(t.sla)).fold(0.0, f64::max)
+    }
+
     fn give_up(&mut self, id: TxnId, out: &mut dyn Decisions) {
         let Some(h) = self.desk.held.remove(&id) else { return };
         let safe = matches!(h.terms.repeat, Repeat::InquiryLike | Repeat::Referenced(Group::All));
@@ -569,7 +564,8 @@
         if trial.is_none() && !beside {
             return;
         }
-        let fair = beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.stock.queue < QUEUE;
+        let fair =
+            beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.queue(terms.sla) < 0.15;
         let score = match ending {
             Ending::Failed => 1.0,
             Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
@@ -692,7 +688,7 @@
             // An agent that restarted amid a trial has no time before it to compare with.
             let (borne, weight) = self.demand.borne.read(self.now, USUAL);
             let known = self.exposure.windows.started.is_some_and(|s| s + USUAL / 4 < self.now);
-            self.jury.begin(build, &self.stock, if known { borne / weight.max(1e-9) } else { 0.0 });
+            self.jury.begin(build, self.stock.usual_pace, if known { borne / weight.max(1e-9) } else { 0.0 });
         }
         let same = known.filter(|n| (n.build, n.stage) == (build, stage));
         let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
--- a/src/state.rs
+++ b/src/state.rs
@@ -256,8 +256,6 @@
     /// When the build was first heard of: the usual pace of all appliances, and what a unit of weight bore.
     pub(crate) calm: f64,
     pub(crate) bore: f64,
-    /// Whether a queue stood then.
-    pub(crate) queued: bool,
     /// One test for each product, one of failures over all and one of pace over all.
     pub(crate) tests: Vec<Test>,
     pub(crate) build: Option<Build>,
@@ -281,8 +279,6 @@
     pub(crate) usual_work: f64,
     /// Submissions served a second, of late.
     pub(crate) served: f64,
-    /// Wait beyond the work, as a share of the tightest SLA time.
-    pub(crate) queue: f64,
     /// Share that goes unserved both of what was borne before the trial and of what is asked now.
     pub(crate) lost: f64,
 }
