--- a/src/brain.rs
+++ b/src/brain.rs
@@ -119,7 +119,7 @@
 /// convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums fade
 /// by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build. What
 /// begins only after the release is not its work.
-const LOST: f64 = 0.35;
+const LOST: f64 = 0.45;
 
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
 pub struct Test {
@@ -209,7 +209,8 @@
         }
         let grave = if course == Course::Released { GRAVE } else { 0.0 };
         let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
-        if self.own.tests.iter().any(worse) || (lost > LOST && course == Course::OnTrial) {
+        let long = if course == Course::Released { USUAL * 3 / 2 } else { Duration::ZERO };
+        if self.own.tests.iter().any(worse) || now > self.own.well + long {
             return Some(Verdict::Back);
         }
         if course != Course::OnTrial {
@@ -241,6 +242,9 @@
     }
 
     fn round(&mut self, now: Duration, roster: &Roster, news: News, lost: f64, out: &mut dyn Decisions) {
+        if lost <= LOST {
+            self.own.well = now;
+        }
         let doubt = news.course == Course::OnTrial && self.own.tests.iter().any(Test::doubtful);
         if self.peers && doubt && self.own.build == Some(news.build) && now >= self.own.warn_at {
             self.own.warn_at = now + self.dwell / 2;
@@ -365,8 +369,7 @@
             && taken > 2.5 * ENOUGH
             && self.crowding() > 0.15;
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
-        let Some(judged) = self.jury.own.build else { return };
-        let fleet = &self.roster.fleet;
+        let (fleet, Some(judged)) = (&self.roster.fleet, self.jury.own.build) else { return };
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
             let same = |m: &Appliance| m.line.model == a.line.model && m.line.build <= a.line.build;
             if let Some(pace) = fleet.pace(now, USUAL, same) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -256,6 +256,8 @@
     /// When the build was first heard of: the usual pace of all appliances, and what a unit of weight bore.
     pub(crate) calm: f64,
     pub(crate) bore: f64,
+    /// When last not too much of what was borne was lost.
+    pub(crate) well: Duration,
     /// One test for each product, one of failures over all and one of pace over all.
     pub(crate) tests: Vec<Test>,
     pub(crate) build: Option<Build>,
