--- a/src/brain.rs
+++ b/src/brain.rs
@@ -119,7 +119,7 @@
 /// convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums fade
 /// by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build. What
 /// begins only after the release is not its work.
-const LOST: f64 = 0.45;
+const LOST: f64 = 0.35;
 
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
 pub struct Test {
