--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -9,8 +9,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use lilacgate::brain::Brain;
-use lilacgate::port::{Ending, Line, Listing, Txn};
+use lilacgate::port::{Ending, Line, Listing, Product, Txn};
+use options::Instance;
 use wire::{EVENT, Field, Reply};
 
 /// The largest frame taken on trust; longer ones are read only as their bytes arrive.
@@ -29,12 +29,12 @@
 }
 
 struct Host {
-    brains: BTreeMap<u16, Brain>,
+    instances: BTreeMap<u16, Instance>,
     pages: Vec<Option<Vec<Line>>>,
 }
 
 fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
-    let mut host = Host { brains: BTreeMap::new(), pages: vec![None; PAGES] };
+    let mut host = Host { instances: BTreeMap::new(), pages: vec![None; PAGES] };
     let mut reply = Reply::default();
     loop {
         let mut header = [0; 16];
@@ -98,7 +98,7 @@
             for (i, r) in records[from..dead_until].iter().enumerate() {
                 match r.u8(0) {
                     wire::PAGE => self.page(*r, tail).map_err(|e| format!("record {}: {e}", from + i))?,
-                    wire::HALT => drop(on.and_then(|on| self.brains.remove(&on))),
+                    wire::HALT => drop(on.and_then(|on| self.instances.remove(&on))),
                     _ => {}
                 }
             }
@@ -124,23 +124,23 @@
             let text = r.slice(9, 1, tail).map_err(place)?;
             let text = std::str::from_utf8(text).map_err(|_| place("options are not UTF-8".into()))?;
             match options::instance(r.u64(1), text) {
-                Ok(brain) => drop(self.brains.insert(on, brain)),
+                Ok(instance) => drop(self.instances.insert(on, instance)),
                 Err(fault) => {
                     reply.on(on).fault(&fault);
                     return Ok(());
                 }
             }
         }
-        let Some(brain) = self.brains.get_mut(&on) else {
+        let Some(Instance { brain, products, zones }) = self.instances.get_mut(&on) else {
             return Err(format!("record {first}: instance {on} was never started"));
         };
-        let pages = &mut self.pages;
+        let (pages, named) = (&mut self.pages, (*products, *zones));
         let mut fault = None;
         brain.round(
             now,
             |ear| {
                 for (i, r) in records.iter().enumerate() {
-                    if let Err(e) = hear(*r, tail, pages, ear) {
+                    if let Err(e) = hear(*r, tail, pages, named, ear) {
                         fault = Some(format!("record {}, instance {on}: {e}", first + i));
                         return;
                     }
@@ -164,9 +164,19 @@
     Ok(())
 }
 
-/// Hands one record to the module, field by field.
+fn product(r: Field, at: usize, products: usize) -> Result<Product, String> {
+    let product = r.product(at);
+    if usize::from(product.0) < products {
+        Ok(product)
+    } else {
+        Err(format!("product {} was never named", product.0))
+    }
+}
+
+/// Hands one record to the module, field by field. `named` is how many products and zones there are.
 fn hear(
-    r: Field, tail: &[u8], pages: &mut [Option<Vec<Line>>], ear: &mut dyn lilacgate::port::Hears,
+    r: Field, tail: &[u8], pages: &mut [Option<Vec<Line>>], named: (usize, usize),
+    ear: &mut dyn lilacgate::port::Hears,
 ) -> Result<(), String> {
     match r.u8(0) {
         wire::PAGE => page(r, tail, pages)?,
@@ -176,14 +186,17 @@
             let number = r.u32(9);
             match pages.get(number as usize).and_then(Option::as_ref) {
                 _ if listing == Listing::Failed => ear.roster(listing, &mut std::iter::empty()),
-                Some(lines) => ear.roster(listing, &mut lines.iter().copied()),
+                Some(lines) => match lines.iter().find(|l| usize::from(l.zone.0) >= named.1) {
+                    Some(line) => return Err(format!("zone {} was never named", line.zone.0)),
+                    None => ear.roster(listing, &mut lines.iter().copied()),
+                },
                 None => return Err(format!("UPDATE names list {number}, which was never given")),
             }
         }
         wire::INBOUND => {
             let bits = r.u8(5);
             let txn = Txn {
-                product: r.product(14),
+                product: product(r, 14, named.0)?,
                 tenant: r.tenant(15),
                 mark: Some(r.u64(6)).filter(|&m| m != 0).map(lilacgate::port::Mark),
                 expiry: r.span64(17),
@@ -218,10 +231,10 @@
             }
         }
         wire::PERIOD_SUMS => {
-            let (build, product) = (r.build(9), r.product(11));
+            let (build, product) = (r.build(9), product(r, 11, named.0)?);
             ear.tally(build, product, r.u32(5), r.u32(12), r.span(16), r.span(1));
         }
-        wire::BAD_ANSWER => ear.wrong_answer(r.appliance(1), r.product(5), r.span(6)),
+        wire::BAD_ANSWER => ear.wrong_answer(r.appliance(1), product(r, 5, named.0)?, r.span(6)),
         code => return Err(format!("unknown event code {code}")),
     }
     Ok(())
--- a/crates/drill/src/options.rs
+++ b/crates/drill/src/options.rs
@@ -71,11 +71,20 @@
     }
 }
 
-/// One instance's module, made from its options.
-pub fn instance(seed: u64, text: &str) -> Result<Brain, String> {
+/// An instance: its module, and how many products and zones its settings name.
+pub struct Instance {
+    pub brain: Brain,
+    pub products: usize,
+    pub zones: usize,
+}
+
+/// One instance, made from its options.
+pub fn instance(seed: u64, text: &str) -> Result<Instance, String> {
     let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
     let count: u8 = pairs.num("profiles.count")?;
     let products = (0..count.into()).map(|i| pairs.product(i)).collect::<Result<Vec<_>, _>>()?;
+    let count = products.len();
+    let zones = pairs.text("zones")?.split(',').count();
     let tick = pairs.period("tick")?;
     let asks = pairs.word("membership-mode", &[("push", false), ("ask", true)])?;
     let ask_within = if asks { Some(pairs.period("rules.ask-within")?) } else { None };
@@ -108,7 +117,7 @@
         },
         pairs.word("family-info.layout", &[("side_by_side", false), ("rolling", true)])?,
         pairs.num("limits.peers")?,
-        products.len(),
+        count,
     );
     let desk = Desk::new(
         products,
@@ -118,5 +127,6 @@
         if pairs.num("limits.retry-after")? { pairs.span("limits.max-retry-after")? } else { Duration::ZERO },
         tick,
     );
-    Ok(Brain::new(seed, roster, thaw, exposure, jury, desk))
+    let brain = Brain::new(seed, roster, thaw, exposure, jury, desk);
+    Ok(Instance { brain, products: count, zones })
 }
