--- a/src/brain.rs
+++ b/src/brain.rs
@@ -363,11 +363,8 @@
         let (borne, weight) = self.demand.bears.read(now, USUAL / 2);
         let (served, taken) = self.demand.met.read(now, USUAL / 2);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
-        // Only of an agent with a past to compare with, enough traffic to tell, and a queue now.
-        let sure = now > self.woke + USUAL / 2
-            && self.jury.own.bore > 0.0
-            && taken > 2.5 * ENOUGH
-            && self.crowding() > 0.15;
+        // Only of an agent with enough traffic to tell, and a queue now; with no past, nothing reads as lost.
+        let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.crowding() > 0.15;
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
         let (fleet, Some(judged)) = (&self.roster.fleet, self.jury.own.build) else { return };
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
