--- a/src/brain.rs
+++ b/src/brain.rs
@@ -514,7 +514,7 @@
 
     /// What a txn may expect to wait there, against the others.
     fn cost(&self, a: &Appliance) -> f64 {
-        let across = if a.line.zone == self.roster.zone { 1.0 } else { 1.3 };
+        let across = if a.line.zone == self.roster.zone { 1.0 } else { 2.0 };
         let pace = pace(a, self.now, &self.stock) / (1.0 - 0.9 * a.record.fails.share(self.now, RECENT, 1.0));
         pace * (1.0 + a.out.len() as f64) * across / a.weight().max(1e-3)
     }
