--- a/src/brain.rs
+++ b/src/brain.rs
@@ -144,13 +144,17 @@
         self.y.1 / self.y.0.max(1.0) - self.x.1 / self.x.0.max(1.0)
     }
 
-    /// Takes an outcome: 0 if good, 1 if bad, and the trial appliance it comes from.
-    pub fn observe(&mut self, trial: Option<ApplianceId>, score: f64) {
-        let add = |arm: &mut (f64, f64)| *arm = (arm.0 + 1.0, arm.1 + score);
-        add(if trial.is_some() { &mut self.y } else { &mut self.x });
+    fn put(&mut self, trial: Option<ApplianceId>, many: f64, bad: f64) {
+        let put = |arm: &mut (f64, f64)| *arm = (arm.0 + many, (arm.1 + bad).min(arm.0 + many));
+        put(if trial.is_some() { &mut self.y } else { &mut self.x });
         if let Some(at) = trial {
-            add(self.by.entry(at).or_default());
+            put(self.by.entry(at).or_default());
         }
+    }
+
+    /// Takes an outcome: 0 if good, 1 if bad, and the trial appliance it comes from.
+    pub fn observe(&mut self, trial: Option<ApplianceId>, score: f64) {
+        self.put(trial, 1.0, score);
         let n = self.x.0.min(self.y.0);
         let (x, y) = (self.x.1 / self.x.0.max(1.0), self.y.1 / self.y.0.max(1.0));
         let v = x * (1.0 - x) + y * (1.0 - y);
@@ -712,11 +716,11 @@
         let Some(a) = self.roster.fleet.0.get(&at) else { return };
         let trial = self.jury.own.build.is_some_and(|b| a.line.build >= b);
         let young = a.line.started.is_some_and(|s| sent < s + self.thaw.ramp * 9 / 8);
-        let Some(test) = self.jury.own.tests.get_mut(usize::from(product.0)) else { return };
-        let arm = if trial { &mut test.y } else { &mut test.x };
         // The outcome it names was counted as good.
-        if !young && arm.1 + 1.0 <= arm.0 {
-            arm.1 += 1.0;
+        for i in [usize::from(product.0), self.jury.products] {
+            if let Some(test) = self.jury.own.tests.get_mut(i).filter(|_| !young) {
+                test.put(trial.then_some(at), 0.0, 1.0);
+            }
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,7 +6,8 @@
 //!     roster KIND ID:MODE:BUILD[:AGE[:ZONE]] ..   | txn ID PRODUCT [EXPIRY] [MARK]   | left ID
 //!     ended ID/LEG APPLIANCE ENDING TOOK [closed] | stage BUILD STAGE COURSE CAP     | voted ENDING
 //!     burst MANY PRODUCT                   so many txns in one round
-//!     restart                              the agent dies and comes back
+//!     wrong APPLIANCE PRODUCT AGO          an answer sent so long ago was found wrong
+//!     restart                                       the agent dies and comes back
 //!     flow MS PRODUCT SHARES               until then a txn every 10 ms, answered after 50 ms; of SHARES, as
 //!                                          BUILD=N or @ID=N, every Nth fails
 //!     expect DECISION / never DECISION     what was, or was not, decided in this round (in the flow, after one)
@@ -229,6 +230,10 @@
                 self.round(|ear| ear.stage(build, stage, course, cap, Duration::ZERO));
             }
             ["voted", how] => self.round(|ear| ear.vote_answered(ending(how))),
+            ["wrong", at, product, ago] => {
+                let (at, product) = (at.parse().expect("an id"), product.parse().expect("a product"));
+                self.round(|ear| ear.wrong_answer(ApplianceId(at), Product(product), ms(ago)));
+            }
             ["restart"] => self.brain = None,
             ["flow", until, product, fails @ ..] => {
                 let pair = |f: &&str| f.split_once('=').map(|(b, n)| (b.to_string(), n.parse().expect("N")));
