One check each for young appliances, builds on trial and queues; dead enums out

No behaviour changed: the age rule for evidence stood in two places, the question whether a build is on trial in three, the queue's threshold in two; the drill wrapped its own page function.

--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -97,7 +97,9 @@
                 last_halt.get(&on).copied().filter(|&h| h >= from).map_or(from, |h| h.min(at - 1) + 1);
             for (i, r) in records[from..dead_until].iter().enumerate() {
                 match r.u8(0) {
-                    wire::PAGE => self.page(*r, tail).map_err(|e| format!("record {}: {e}", from + i))?,
+                    wire::PAGE => {
+                        page(*r, tail, &mut self.pages).map_err(|e| format!("record {}: {e}", from + i))?
+                    }
                     wire::HALT => drop(on.and_then(|on| self.instances.remove(&on))),
                     _ => {}
                 }
@@ -114,7 +116,7 @@
     ) -> Result<(), String> {
         if records.iter().all(|r| r.u8(0) == wire::PAGE) {
             for (i, r) in records.iter().enumerate() {
-                self.page(*r, tail).map_err(|e| format!("record {}: {e}", first + i))?;
+                page(*r, tail, &mut self.pages).map_err(|e| format!("record {}: {e}", first + i))?;
             }
             return Ok(());
         }
@@ -150,10 +152,6 @@
         );
         fault.map_or(Ok(()), Err)
     }
-
-    fn page(&mut self, r: Field, tail: &[u8]) -> Result<(), String> {
-        page(r, tail, &mut self.pages)
-    }
 }
 
 fn page(r: Field, tail: &[u8], pages: &mut [Option<Vec<Line>>]) -> Result<(), String> {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,6 +58,11 @@
         self.cold_from + (1.0 - self.cold_from) * age.as_secs_f64() / self.ramp.as_secs_f64()
     }
 
+    /// Whether an appliance was too young to be evidence when this was sent to it.
+    fn young(&self, line: &Line, sent: Duration) -> bool {
+        line.started.is_some_and(|s| sent < s + self.ramp * 9 / 8)
+    }
+
     /// Whether this much more work keeps this agent's part of the budget. The part is what the agent would
     /// send a warm appliance of that weight: whatever all agents do, their parts add up to what such an
     /// appliance is seen to bear, without knowing the others' traffic.
@@ -109,18 +114,20 @@
 const GRAVE: f64 = 0.05;
 /// Level of the test, before it is divided among the tests.
 const ALPHA: f64 = 0.2;
-/// From the newest trial appliance's start to the on: the design's 3 s, and some for a clock that starts
-/// late.
+/// From the newest trial appliance's start to the on: the design's 3 s, and some for a late clock.
 const WAIT: Duration = Duration::from_millis(3500);
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
 /// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to
 /// convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums fade
-/// by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build. What
-/// begins only after the release is not its work.
+/// by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build. After
+/// the release it must last longer than slowdowns of other causes do.
 const LOST: f64 = 0.35;
 
+/// Wait beyond the work, as a share of an SLA time, that counts as a queue.
+const QUEUE: f64 = 0.15;
+
 /// The paper's two-sample test: X at earlier builds, Y at the build on trial.
 pub struct Test {
     theta0: f64,
@@ -194,6 +201,10 @@
 }
 
 impl Jury {
+    fn on_trial(&self, build: Build) -> bool {
+        self.own.build.is_some_and(|judged| build >= judged)
+    }
+
     fn level(&self) -> f64 {
         ALPHA / (self.products + 2) as f64
     }
@@ -231,18 +242,14 @@
         // The list runs late: a stage whose machines it does not show has not begun to wait.
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
         // While an agent doubts, it and those it told wait for more outcomes; over failures, which a good
-        // build has not, longer still. Guards against agents that wave on what a larger one is about to
-        // convict.
+        // build has not, longer. Guards against agents that wave on what a larger one is about to convict.
         let failing = self.own.tests.iter().rev().skip(1).any(Test::doubtful) || now < self.own.warned;
-        let wait = WAIT
-            * if failing {
-                6
-            } else if doubt {
-                3
-            } else {
-                1
-            };
-        (shown && now >= newest + wait && now >= news.since + self.dwell).then_some(Verdict::On)
+        let waits = match (failing, doubt) {
+            (true, _) => 6,
+            (_, true) => 3,
+            _ => 1,
+        };
+        (shown && now >= newest + WAIT * waits && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
     fn round(&mut self, now: Duration, roster: &Roster, news: News, lost: f64, out: &mut dyn Decisions) {
@@ -368,7 +375,7 @@
         let (served, taken) = self.demand.met.read(now, USUAL / 2);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
         // Only of an agent with enough traffic to tell, and a queue now; with no past, nothing reads as lost.
-        let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.crowding() > 0.15;
+        let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.crowding() > QUEUE;
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
         let (fleet, Some(judged)) = (&self.roster.fleet, self.jury.own.build) else { return };
         for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
@@ -504,9 +511,8 @@
         }
         // A txn that the trial build has failed is better served by an earlier one.
         let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
-        // Nor does the trial get its share while more waits there, for its size, than elsewhere: arms under
-        // unlike load cannot be compared. Guards against few, slow machines that queue and look like a slow
-        // build.
+        // Nor does the trial get its share while more waits there, for its size, than elsewhere. Guards
+        // against few, slow machines that queue and look like a slow build: unlike loads do not compare.
         let queued = out[1] * listed[0] > 1.5 * (out[0] + 1.0) * listed[1] && listed[0] > 0.0;
         let share = if failed_there || queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
         let arm = usize::from(self.chance.random::<f64>() < share);
@@ -539,9 +545,7 @@
         a.pushed.retain(|(t, _)| *t + self.thaw.span >= now);
         a.pushed.push_back((now, work));
         let leg = Leg(h.legs.len() as u8);
-        let young =
-            self.jury.own.build.is_some_and(|b| build >= b) && a.age(now) < Some(self.thaw.ramp * 9 / 8);
-        let mute = (young && a.line.started.is_some()) || a.barred();
+        let mute = (self.jury.on_trial(build) && self.thaw.young(&a.line, now)) || a.barred();
         a.out.insert((id, leg), Out { sent: now, work, product: txn.product, build, mute });
         h.legs.push(Submission { to, build, sent: now, ending: None, called_off: false });
         // Until it is proved not to have run, it may have: the group and window of a repeat are fixed by it.
@@ -559,7 +563,7 @@
         if o.mute || self.jury.own.tests.is_empty() {
             return;
         }
-        let trial = self.jury.own.build.is_some_and(|b| o.build >= b).then_some(at);
+        let trial = self.jury.on_trial(o.build).then_some(at);
         let arm = usize::from(trial.is_some());
         self.jury.own.flow[arm].add(self.now, RECENT, 1.0);
         let [early, late] = self.jury.own.flow.map(|f| f.read(self.now, RECENT));
@@ -569,7 +573,7 @@
             return;
         }
         let fair =
-            beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.queue(terms.sla) < 0.15;
+            beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.queue(terms.sla) < QUEUE;
         let score = match ending {
             Ending::Failed => 1.0,
             Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
@@ -714,8 +718,7 @@
     fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration) {
         let sent = self.now.saturating_sub(sent_ago);
         let Some(a) = self.roster.fleet.0.get(&at) else { return };
-        let trial = self.jury.own.build.is_some_and(|b| a.line.build >= b);
-        let young = a.line.started.is_some_and(|s| sent < s + self.thaw.ramp * 9 / 8);
+        let (trial, young) = (self.jury.on_trial(a.line.build), self.thaw.young(&a.line, sent));
         // The outcome it names was counted as good.
         for i in [usize::from(product.0), self.jury.products] {
             if let Some(test) = self.jury.own.tests.get_mut(i).filter(|_| !young) {
--- a/src/port.rs
+++ b/src/port.rs
@@ -117,26 +117,6 @@
     Back,
 }
 
-/// What listed weights mean.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Weights {
-    None,
-    Nominal,
-    Rough,
-    Live,
-}
-
-/// A load figure that appliances may report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Gauge {
-    InHand,
-    Queued,
-    Busy,
-    ServiceMillis,
-    Rate,
-    FailRate,
-}
-
 /// A txn as its client sent it.
 #[derive(Clone, Copy, Debug)]
 pub struct Txn {
