--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! go straight into the writer passed along. What is heard and decided is defined in `port.rs`, what is
 //! remembered in `state.rs`, and `parts.rs` has the parts' settings; why things are decided so, in
 //! `docs/design.md`.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -87,6 +87,11 @@
         }
     }
 
+    /// What is counted apart.
+    fn lane(&self, product: Product) -> Product {
+        if self.per_product { product } else { Product(0) }
+    }
+
     fn permits(&self, now: Duration, build: Build, h: &Held) -> bool {
         let (product, w) = (h.txn.product, &self.windows);
         let Some((stage, cap)) = self.bound(build) else {
@@ -97,13 +102,14 @@
         if cap <= 0.0 || (stage.0 < self.guarded && h.terms.repeat != Repeat::InquiryLike) {
             return false;
         }
-        let same = |p: Product| !self.per_product || p == product;
-        let sent = w.sent.iter().filter(|(t, p, b)| *b == build && same(*p) && *t + self.span >= now);
-        let since = (now + self.tick).saturating_sub(self.span);
-        let taken = w.taken.iter().filter(|(t, p)| *t > since && same(*p)).count() as f64;
+        let lane = self.lane(product);
+        let sent = w.sent.get(&(lane, build)).map_or(0, |w| since(w, now.saturating_sub(self.span)));
+        // Strictly inside the window, by a tick: an arrival at its very edge may not be counted.
+        let edge = (now + self.tick + Duration::from_micros(1)).saturating_sub(self.span);
+        let taken = w.taken.get(&lane).map_or(0, |w| since(w, edge));
         // What an earlier life of this agent sent is not known: its free allowance may be used up.
         let free = if w.started.is_some_and(|s| s + self.span >= now) { 0.0 } else { self.free };
-        sent.count() as f64 + 1.0 <= free + cap * taken
+        sent as f64 + 1.0 <= free + cap * taken as f64
     }
 }
 
@@ -332,24 +338,33 @@
         if self.roster.ask_at.take_if(|t| *t <= now).is_some() {
             out.watch_roster(true);
         }
-        self.take_stock(passed);
+        self.stock.passed += passed;
+        // The walk over the fleet is made once a beat, or once for as many events as there are appliances.
+        if now >= self.stock.next || self.stock.heard > self.roster.fleet.0.len() {
+            self.take_stock();
+        }
+        self.count_served();
         let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
         order.sort();
+        let mut beat = now + self.desk.tick * 20;
         for (_, id) in order {
-            self.attend(id, out);
+            beat = self.attend(id, out).map_or(beat, |next| beat.min(next));
         }
         if let Some(news) = self.exposure.news {
             self.jury.round(now, &self.roster, news, self.stock.lost, out);
         }
-        // A beat, so that waits end without an event: short while txns are in hand.
-        if self.wake_at <= now {
-            self.wake_at = now + self.desk.tick * if self.desk.held.is_empty() { 20 } else { 2 };
-            out.wake(self.wake_at, Ticket(0));
+        // A beat, so that waits end without an event.
+        let beat = beat.max(now + self.desk.tick * 2);
+        if self.wake_at <= now || beat < self.wake_at {
+            self.wake_at = beat;
+            out.wake(beat, Ticket(0));
         }
     }
 
-    fn take_stock(&mut self, passed: Duration) {
+    fn take_stock(&mut self) {
         let now = self.now;
+        let passed = std::mem::take(&mut self.stock.passed);
+        (self.stock.next, self.stock.heard) = (now + self.desk.tick * 20, 0);
         let fleet = &self.roster.fleet;
         let listed = fleet.weight() * passed.as_secs_f64();
         self.demand.borne.add(now, USUAL, 0.0, listed);
@@ -369,6 +384,20 @@
                 strike(&mut a.record, now);
             }
         }
+        self.arrange();
+        let (fleet, Some(judged)) = (&self.roster.fleet, self.jury.own.build) else { return };
+        let earlier = |a: &Appliance| a.line.build < judged;
+        for model in
+            fleet.ready().filter(|(_, a)| earlier(a)).map(|(_, a)| a.line.model).collect::<BTreeSet<_>>()
+        {
+            if let Some(pace) = fleet.pace(now, USUAL, |a| a.line.model == model && earlier(a)) {
+                self.jury.own.paces.insert(model, pace);
+            }
+        }
+    }
+
+    fn count_served(&mut self) {
+        let now = self.now;
         self.stock.served =
             self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
         let (borne, weight) = self.demand.bears.read(now, USUAL / 2);
@@ -377,18 +406,12 @@
         // Only of an agent with enough traffic to tell, and a queue now; with no past, nothing reads as lost.
         let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.crowding() > QUEUE;
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
-        let (fleet, Some(judged)) = (&self.roster.fleet, self.jury.own.build) else { return };
-        for (_, a) in fleet.ready().filter(|(_, a)| a.line.build < judged) {
-            let same = |m: &Appliance| m.line.model == a.line.model && m.line.build <= a.line.build;
-            if let Some(pace) = fleet.pace(now, USUAL, same) {
-                self.jury.own.paces.insert(a.line.model, pace);
-            }
-        }
     }
 
-    fn attend(&mut self, id: TxnId, out: &mut dyn Decisions) {
+    /// Does what is due for a txn, and says when to look at it again without an event.
+    fn attend(&mut self, id: TxnId, out: &mut dyn Decisions) -> Option<Duration> {
         let now = self.now;
-        let Some(h) = self.desk.held.get_mut(&id) else { return };
+        let h = self.desk.held.get_mut(&id)?;
         let left = h.txn.expiry.saturating_sub(now);
         let sla_left = (h.arrived + h.terms.sla).saturating_sub(now);
         let more =
@@ -401,8 +424,11 @@
             // Guards against lost messages and stuck work as well as dead machines.
             let a = self.roster.fleet.0.get(&to);
             let lost = a.is_none_or(|a| a.record.passed > sent || (a.barred() && a.record.heard < sent));
-            if !more || sla_left.is_zero() || h.out().count() > 1 || now < sent + usual {
-                return;
+            if !more || sla_left.is_zero() || h.out().count() > 1 {
+                return None;
+            }
+            if now < sent + usual {
+                return Some(sent + usual);
             }
             let spare =
                 0.1 * self.demand.met.read(now, USUAL / 2).1 > 1.0 + self.demand.second.read(now, USUAL / 2);
@@ -415,17 +441,21 @@
                 self.demand.second.add(now, USUAL / 2, 1.0);
                 self.submit(id, to, out);
             }
-            return;
+            return Some(now + self.desk.tick * 8);
         }
         let hopeless = sla_left.is_zero() && h.terms.late_share <= 0.0;
         let terms = h.terms;
         let fresh = h.legs.last().is_none_or(|l| l.ending == Some(Ending::TurnedAway));
         if !more || hopeless || (fresh && self.crowded(&terms, sla_left)) {
-            return self.give_up(id, out);
-        }
-        if let Some(to) = self.choose(id) {
-            self.submit(id, to, out);
+            self.give_up(id, out);
+            return None;
         }
+        let Some(to) = self.choose(id) else {
+            self.stock.next = now;
+            return Some(now + self.desk.tick * 2);
+        };
+        self.submit(id, to, out);
+        None
     }
 
     /// Whether so much is out already that this txn would wait too long: the less it earns, the sooner.
@@ -466,38 +496,23 @@
         }
     }
 
-    /// Two random choices by weight within an arm; the arm by the trial build's share of the listed weight.
-    fn choose(&mut self, id: TxnId) -> Option<ApplianceId> {
-        let now = self.now;
-        let h = self.desk.held.get(&id)?;
-        let (borne, weight) = self.demand.borne.read(now, USUAL);
-        let fair = borne / weight.max(1e-9);
+    /// Lays out what txns choose from: the arms' appliances and odds, and the trial's share of the listed weight.
+    fn arrange(&mut self) {
+        let (now, fleet) = (self.now, &self.roster.fleet);
         // When most are barred the trouble is not theirs: then bars mean nothing.
-        let (sick, all) =
-            self.roster.fleet.ready().fold((0, 0), |(s, n), (_, a)| (s + usize::from(a.barred()), n + 1));
-        let panic = 2 * sick > all;
-        let mut arms: [Vec<(ApplianceId, f64, f64)>; 2] = Default::default();
+        let sick = fleet.ready().filter(|(_, a)| a.barred()).count();
+        self.stock.panic = 2 * sick > fleet.ready().count();
+        let (borne, weight) = self.demand.borne.read(now, USUAL);
+        self.stock.fair = borne / weight.max(1e-9);
         let (mut listed, mut out) = ([0.0; 2], [0.0; 2]);
-        let mut permitted = BTreeMap::new();
-        for (aid, a) in self.roster.fleet.ready() {
-            let weight = a.weight() * self.thaw.warmth(a.age(now));
-            let arm = usize::from(self.exposure.bound(a.line.build).is_some());
-            let in_group = match (h.terms.repeat, h.risk) {
-                (Repeat::Referenced(Group::Zone), Some((_, zone, _))) => a.line.zone == zone,
-                (Repeat::Referenced(Group::Cell), Some((.., cell))) => a.line.cell == cell,
-                _ => true,
-            };
-            let may = || self.exposure.permits(now, a.line.build, h);
-            let parole =
-                now >= a.record.barred_until && a.out.is_empty() && h.terms.repeat != Repeat::OnceOnly;
-            if !in_group
-                || h.out().any(|(_, l)| l.to == aid)
-                || (a.barred() && !panic && !parole)
-                || !*permitted.entry(a.line.build).or_insert_with(may)
-                || !self.thaw.bears(now, a, fair * a.weight(), h.work)
-            {
+        let mut seats: [Vec<Seat>; 2] = Default::default();
+        for (id, a) in fleet.ready() {
+            let parole = now >= a.record.barred_until && a.out.is_empty();
+            if a.barred() && !self.stock.panic && !parole {
                 continue;
             }
+            let weight = a.weight() * self.thaw.warmth(a.age(now));
+            let arm = usize::from(self.exposure.bound(a.line.build).is_some());
             // Listed sizes leave out how fast a model is; its pace at earlier builds keeps slow models of
             // the trial from queueing, which would look like a slow build.
             let model = self.jury.own.paces.get(&a.line.model).copied().unwrap_or(self.stock.usual_pace);
@@ -506,20 +521,62 @@
             // Its own pace in the long run, drawn to that of all while it is little known.
             let (took, worked) = a.record.usual.read(now, USUAL);
             let usual = ((took + self.stock.usual_pace) / (worked + 1.0)).max(1e-3);
-            let odds = weight / usual * if h.legs.iter().any(|l| l.to == aid) { 0.01 } else { 1.0 };
-            arms[arm].push((aid, odds, self.cost(a)));
+            seats[arm].push(Seat { id, odds: weight / usual });
         }
-        // A txn that the trial build has failed is better served by an earlier one.
-        let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
         // Nor does the trial get its share while more waits there, for its size, than elsewhere. Guards
         // against few, slow machines that queue and look like a slow build: unlike loads do not compare.
         let queued = out[1] * listed[0] > 1.5 * (out[0] + 1.0) * listed[1] && listed[0] > 0.0;
-        let share = if failed_there || queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
-        let arm = usize::from(self.chance.random::<f64>() < share);
-        let arm = if arms[arm].is_empty() { 1 - arm } else { arm };
-        let (one, two) = (arms[arm].choose_weighted(&mut self.chance, |c| c.1), &arms[arm]);
-        let (one, two) = (one.ok()?, two.choose_weighted(&mut self.chance, |c| c.1).ok()?);
-        Some(if two.2 < one.2 { two.0 } else { one.0 })
+        self.stock.share = if queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
+        self.stock.seats = seats;
+    }
+
+    /// Whether a txn may go there now.
+    fn takes(&self, h: &Held, to: ApplianceId) -> bool {
+        let Some(a) = self.roster.fleet.0.get(&to).filter(|a| a.line.mode == Mode::Ready) else {
+            return false;
+        };
+        let parole =
+            self.now >= a.record.barred_until && a.out.is_empty() && h.terms.repeat != Repeat::OnceOnly;
+        let in_group = match (h.terms.repeat, h.risk) {
+            (Repeat::Referenced(Group::Zone), Some((_, zone, _))) => a.line.zone == zone,
+            (Repeat::Referenced(Group::Cell), Some((.., cell))) => a.line.cell == cell,
+            _ => true,
+        };
+        in_group
+            && !h.out().any(|(_, l)| l.to == to)
+            && (!a.barred() || self.stock.panic || parole)
+            && self.thaw.bears(self.now, a, self.stock.fair * a.weight(), h.work)
+            && self.exposure.permits(self.now, a.line.build, h)
+    }
+
+    /// Two random choices by weight within an arm; the arm by the trial build's share of the listed weight.
+    fn choose(&mut self, id: TxnId) -> Option<ApplianceId> {
+        let mut chance = Pcg64Mcg::seed_from_u64(self.chance.random());
+        let h = self.desk.held.get(&id)?;
+        // A txn that the trial build has failed is better served by an earlier one.
+        let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
+        let share = if failed_there { 0.0 } else { self.stock.share };
+        let arm = usize::from(chance.random::<f64>() < share);
+        for seats in [&self.stock.seats[arm], &self.stock.seats[1 - arm]] {
+            let tried = |id: ApplianceId| h.legs.iter().any(|l| l.to == id);
+            let mut pick = |spare: bool| {
+                // A few draws mostly do; where little is open, the whole arm is looked through.
+                for _ in 0..4 {
+                    let seat = seats.choose_weighted(&mut chance, |s| s.odds).ok()?;
+                    if self.takes(h, seat.id) && !tried(seat.id) {
+                        return Some(seat.id);
+                    }
+                }
+                let open: Vec<_> = seats.iter().filter(|s| spare && self.takes(h, s.id)).collect();
+                let odds = |s: &&Seat| if tried(s.id) { s.odds / 100.0 } else { s.odds };
+                open.choose_weighted(&mut chance, odds).ok().map(|s| s.id)
+            };
+            let Some(one) = pick(true) else { continue };
+            let two = pick(false).unwrap_or(one);
+            let cost = |id| self.roster.fleet.0.get(&id).map_or(f64::MAX, |a| self.cost(a));
+            return Some(if cost(two) < cost(one) { two } else { one });
+        }
+        None
     }
 
     /// What a txn may expect to wait there, against the others.
@@ -540,7 +597,8 @@
             return;
         }
         if self.exposure.bound(build).is_some() {
-            self.exposure.windows.sent.push_back((now, txn.product, build));
+            let lane = self.exposure.lane(txn.product);
+            self.exposure.windows.sent.entry((lane, build)).or_default().push_back(now);
         }
         a.pushed.retain(|(t, _)| *t + self.thaw.span >= now);
         a.pushed.push_back((now, work));
@@ -600,7 +658,9 @@
     fn txn(&mut self, id: TxnId, txn: Txn) {
         let now = self.now;
         let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
-        self.exposure.windows.taken.push_back((now, txn.product));
+        let lane = self.exposure.lane(txn.product);
+        self.exposure.windows.taken.entry(lane).or_default().push_back(now);
+        self.stock.heard += 1;
         self.demand.met.add(now, USUAL / 2, 0.0, 1.0);
         if let Some(hint) = txn.hint {
             self.demand.hints.entry(txn.product).or_default().add(now, USUAL, hint.as_secs_f64(), 1.0);
@@ -630,6 +690,7 @@
                 }
             }
             if matches!(ending, Ending::Unconnected | Ending::Broken) {
+                self.stock.next = Duration::ZERO;
                 strike(&mut a.record, now);
             }
             if served || full || matches!(ending, Ending::Failed | Ending::Broken) {
@@ -641,16 +702,18 @@
             }
             // An appliance that fails far more than others of its build is left alone for a while. A build as
             // a whole is never barred: its failures are the test's evidence.
-            let fails = a.record.fails.share(now, RECENT, 1.0);
-            let mates = self.roster.fleet.ready().filter(|(id, a)| *id != at && a.line.build == build);
-            let (many, sum) = mates
-                .fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.record.fails.share(now, RECENT, 1.0)));
-            if !served
-                && many > 0.0
-                && fails > sum / many + 0.3
-                && let Some(a) = self.roster.fleet.0.get_mut(&at)
-            {
-                strike(&mut a.record, now);
+            self.stock.heard += 1;
+            if !served {
+                let fails = a.record.fails.share(now, RECENT, 1.0);
+                let mates = self.roster.fleet.ready().filter(|(id, a)| *id != at && a.line.build == build);
+                let share = |a: &Appliance| a.record.fails.share(now, RECENT, 1.0);
+                let (many, sum) = mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + share(a)));
+                if many > 0.0
+                    && fails > sum / many + 0.3
+                    && let Some(a) = self.roster.fleet.0.get_mut(&at)
+                {
+                    strike(&mut a.record, now);
+                }
             }
             if !blurred {
                 self.judge(at, &o, ending, took, alive);
@@ -683,6 +746,7 @@
 
     fn roster(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
         self.roster.update(self.now, listing, lines);
+        self.stock.next = Duration::ZERO;
     }
 
     fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration) {
@@ -700,6 +764,7 @@
         }
         let same = known.filter(|n| (n.build, n.stage) == (build, stage));
         let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
+        self.stock.next = Duration::ZERO;
         self.exposure.news = Some(News { build, stage, course, cap, since });
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -215,23 +215,27 @@
 #[derive(Default)]
 pub(crate) struct Windows {
     pub(crate) started: Option<Duration>,
-    pub(crate) taken: VecDeque<(Duration, Product)>,
-    pub(crate) sent: VecDeque<(Duration, Product, Build)>,
+    pub(crate) taken: BTreeMap<Product, VecDeque<Duration>>,
+    pub(crate) sent: BTreeMap<(Product, Build), VecDeque<Duration>>,
     /// Marks that the build on trial has answered.
     pub(crate) answered: BTreeSet<Mark>,
 }
 
 impl Windows {
     pub(crate) fn trim(&mut self, before: Duration) {
-        while self.taken.front().is_some_and(|(t, _)| *t < before) {
-            self.taken.pop_front();
-        }
-        while self.sent.front().is_some_and(|(t, ..)| *t < before) {
-            self.sent.pop_front();
+        for times in self.taken.values_mut().chain(self.sent.values_mut()) {
+            while times.front().is_some_and(|t| *t < before) {
+                times.pop_front();
+            }
         }
     }
 }
 
+/// How many of these times, in order, are not before another.
+pub(crate) fn since(times: &VecDeque<Duration>, from: Duration) -> usize {
+    times.len() - times.partition_point(|t| *t < from)
+}
+
 /// Where the newest build stands, as last told.
 #[derive(Clone, Copy)]
 pub(crate) struct News {
@@ -271,9 +275,26 @@
     pub(crate) warned: Duration,
 }
 
-/// The fleet at a glance.
+/// An appliance that txns may choose, and its odds.
+pub(crate) struct Seat {
+    pub(crate) id: ApplianceId,
+    pub(crate) odds: f64,
+}
+
+/// The fleet at a glance, as of the last walk over it.
 #[derive(Default)]
 pub(crate) struct Stock {
+    /// When to walk again, the events heard and the time passed since the last walk.
+    pub(crate) next: Duration,
+    pub(crate) heard: usize,
+    pub(crate) passed: Duration,
+    /// Earlier builds' appliances and the trial's, and the trial's share of the listed weight.
+    pub(crate) seats: [Vec<Seat>; 2],
+    pub(crate) share: f64,
+    /// Whether most are barred.
+    pub(crate) panic: bool,
+    /// What a unit of listed weight is seen to bear.
+    pub(crate) fair: f64,
     /// Time for a unit of hinted work: long-run mean of all appliances, and the middle appliance's now.
     pub(crate) usual_pace: f64,
     pub(crate) middle_pace: f64,
