A part below one txn at a cold appliance is a chance of one

Cause: every agent might send its first txn to a cold appliance whatever its part; on the way back 570 agents sent theirs to the first ten machines. Each txn now draws a luck once a span and must be under the part. Guards against any flood from many small agents; harms little, as ordinary traffic stays under twice its share.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,17 +63,20 @@
         line.started.is_some_and(|s| sent < s + self.ramp * 9 / 8)
     }
 
-    /// Whether this much more work keeps this agent's part of the budget. The part is what the agent would
-    /// send a warm appliance of that weight: whatever all agents do, their parts add up to what such an
-    /// appliance is seen to bear, without knowing the others' traffic.
-    fn bears(&self, now: Duration, a: &Appliance, fair_rate: f64, work: f64) -> bool {
+    /// Whether a txn keeps this agent's part of the budget. The part is what the agent would send a warm
+    /// appliance of that weight: whatever all agents do, their parts add up to what such an appliance is
+    /// seen to bear, without knowing the others' traffic. A part below one txn is a chance of one: the luck
+    /// that a txn draws once a span must be under the part over twice (for the two choices) what would be
+    /// sent there of all `due` work. Guards against hundreds of agents that each send their first.
+    fn bears(&self, now: Duration, a: &Appliance, fair_rate: f64, h: &Held, due: f64) -> bool {
         let warmth = self.warmth(a.age(now));
         if warmth >= 1.0 {
             return true;
         }
         let sent: f64 = a.pushed.iter().filter(|(t, _)| *t + self.span >= now).map(|(_, w)| w).sum();
         let budget = 0.9 * self.multiple * warmth * fair_rate * self.span.as_secs_f64();
-        sent + work <= budget || (sent == 0.0 && a.out.is_empty())
+        let first = sent == 0.0 && a.out.is_empty() && h.luck.1 * 2.0 * a.part * due < budget;
+        sent + h.work <= budget || first
     }
 }
 
@@ -505,7 +508,7 @@
         let (borne, weight) = self.demand.borne.read(now, USUAL);
         self.stock.fair = borne / weight.max(1e-9);
         let (mut listed, mut out) = ([0.0; 2], [0.0; 2]);
-        let mut seats: [Vec<Seat>; 2] = Default::default();
+        let (mut seats, mut sums): ([Vec<Seat>; 2], _) = (Default::default(), [0.0; 2]);
         for (id, a) in fleet.ready() {
             let parole = now >= a.record.barred_until && a.out.is_empty();
             if a.barred() && !self.stock.panic && !parole {
@@ -521,12 +524,23 @@
             // Its own pace in the long run, drawn to that of all while it is little known.
             let (took, worked) = a.record.usual.read(now, USUAL);
             let usual = ((took + self.stock.usual_pace) / (worked + 1.0)).max(1e-3);
+            sums[arm] += weight / usual;
             seats[arm].push(Seat { id, odds: weight / usual });
         }
         // Nor does the trial get its share while more waits there, for its size, than elsewhere. Guards
         // against few, slow machines that queue and look like a slow build: unlike loads do not compare.
         let queued = out[1] * listed[0] > 1.5 * (out[0] + 1.0) * listed[1] && listed[0] > 0.0;
         self.stock.share = if queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
+        for (arm, share) in [1.0 - self.stock.share, self.stock.share].into_iter().enumerate() {
+            for seat in &seats[arm] {
+                let part = share * seat.odds / sums[arm];
+                self.roster.fleet.0.entry(seat.id).and_modify(|a| a.part = part);
+            }
+        }
+        let rate =
+            self.demand.met.read(now, USUAL / 2).1 * std::f64::consts::LN_2 / (USUAL / 2).as_secs_f64();
+        let due = rate * self.thaw.span.as_secs_f64() + self.desk.held.len() as f64;
+        self.stock.due = due * self.stock.usual_work;
         self.stock.seats = seats;
     }
 
@@ -545,13 +559,16 @@
         in_group
             && !h.out().any(|(_, l)| l.to == to)
             && (!a.barred() || self.stock.panic || parole)
-            && self.thaw.bears(self.now, a, self.stock.fair * a.weight(), h.work)
+            && self.thaw.bears(self.now, a, self.stock.fair * a.weight(), h, self.stock.due)
             && self.exposure.permits(self.now, a.line.build, h)
     }
 
     /// Two random choices by weight within an arm; the arm by the trial build's share of the listed weight.
     fn choose(&mut self, id: TxnId) -> Option<ApplianceId> {
         let mut chance = Pcg64Mcg::seed_from_u64(self.chance.random());
+        if let Some(h) = self.desk.held.get_mut(&id).filter(|h| self.now >= h.luck.0) {
+            h.luck = (self.now + self.thaw.span, chance.random());
+        }
         let h = self.desk.held.get(&id)?;
         // A txn that the trial build has failed is better served by an earlier one.
         let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
@@ -667,7 +684,10 @@
         }
         let usual = || self.demand.work(now, USUAL, |p| p == txn.product).unwrap_or(self.stock.usual_work);
         let work = txn.hint.map_or_else(usual, |h| h.as_secs_f64()).max(1e-4);
-        self.desk.held.insert(id, Held { txn, terms, work, arrived: now, legs: Vec::new(), risk: None });
+        self.desk.held.insert(
+            id,
+            Held { txn, terms, work, arrived: now, legs: Vec::new(), risk: None, luck: Default::default() },
+        );
     }
 
     fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,8 @@
     pub(crate) out: BTreeMap<(TxnId, Leg), Out>,
     /// Work sent while it may be cold.
     pub(crate) pushed: VecDeque<(Duration, f64)>,
+    /// What part of the agent's txns would go there.
+    pub(crate) part: f64,
 }
 
 impl Appliance {
@@ -115,8 +117,8 @@
         for line in lines {
             missing.remove(&line.appliance);
             let fresh = || {
-                let (record, out, pushed) = Default::default();
-                Appliance { line, record, out, pushed }
+                let (record, out, pushed, part) = Default::default();
+                Appliance { line, record, out, pushed, part }
             };
             let a = self.0.entry(line.appliance).or_insert_with(fresh);
             if a.line.started != line.started || a.line.build != line.build {
@@ -169,6 +171,8 @@
     pub(crate) legs: Vec<Submission>,
     /// The first submission that may have run: when it was sent, and the group that drops its repeats.
     pub(crate) risk: Option<(Duration, Zone, Cell)>,
+    /// A draw in 0..1, and until when it stands.
+    pub(crate) luck: (Duration, f64),
 }
 
 impl Held {
@@ -295,6 +299,8 @@
     pub(crate) panic: bool,
     /// What a unit of listed weight is seen to bear.
     pub(crate) fair: f64,
+    /// Work in hand, and to come in the span that the rule on cold appliances looks at.
+    pub(crate) due: f64,
     /// Time for a unit of hinted work: long-run mean of all appliances, and the middle appliance's now.
     pub(crate) usual_pace: f64,
     pub(crate) middle_pace: f64,
