Outcomes go to three judges, who vote first; others stand in later, spread by chance

Cause: most agents never see 20 trial outcomes, and each voted on by the clock alone. An agent on its own divides its level by the number of agents. Lost messages leave each to its own evidence.

--- a/crates/drill/src/options.rs
+++ b/crates/drill/src/options.rs
@@ -118,6 +118,8 @@
         pairs.word("family-info.layout", &[("side_by_side", false), ("rolling", true)])?,
         pairs.num("limits.peers")?,
         count,
+        AgentId(pairs.num("me")?),
+        pairs.num("instances")?,
     );
     let desk = Desk::new(
         products,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -128,6 +128,12 @@
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
+/// How many agents gather the others' outcomes: enough that one is mostly there.
+const JUDGES: u32 = 3;
+/// Octets in a record of a report, and in a message at most.
+const RECORD: usize = 9;
+const LONGEST: usize = 256;
+
 /// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to
 /// convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums fade
 /// by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build. After
@@ -168,9 +174,9 @@
         }
     }
 
-    /// Takes an outcome: 0 if good, 1 if bad, and the trial appliance it comes from.
-    pub fn observe(&mut self, trial: Option<ApplianceId>, score: f64) {
-        self.put(trial, 1.0, score);
+    /// Takes outcomes, how many of them bad, and the trial appliance they come from.
+    pub fn observe(&mut self, trial: Option<ApplianceId>, many: f64, bad: f64) {
+        self.put(trial, many, bad);
         let n = self.x.0.min(self.y.0);
         let (x, y) = (self.x.1 / self.x.0.max(1.0), self.y.1 / self.y.0.max(1.0));
         let v = x * (1.0 - x) + y * (1.0 - y);
@@ -214,12 +220,97 @@
         self.own.build.is_some_and(|judged| build >= judged)
     }
 
+    /// Those that agents report to: a few, spread by the build, so that hundreds need not hear of each other.
+    fn judges(&self, build: Build) -> impl Iterator<Item = AgentId> + use<> {
+        let (agents, some) = (self.agents.max(1), self.agents.clamp(1, JUDGES));
+        (0..some).map(move |i| AgentId((u32::from(build.0) + i * agents / some) % agents))
+    }
+
+    fn judging(&self, build: Build) -> bool {
+        self.judges(build).any(|judge| judge == self.me)
+    }
+
+    /// Who is not told the others' outcomes shares the chance of a false alarm with all agents.
     fn level(&self) -> f64 {
-        ALPHA / (self.products + 2) as f64
+        let alone = !self.own.build.is_some_and(|b| self.judging(b));
+        ALPHA / (self.products + 2) as f64 / if alone { f64::from(self.agents) } else { 1.0 }
+    }
+
+    /// Takes outcomes at a product, how many of them were bad, how many could be timed, and how many were late.
+    fn learn(&mut self, trial: Option<ApplianceId>, product: Product, [many, bad, timed, late]: [u8; 4]) {
+        let (many, bad, last) = (f64::from(many), f64::from(bad), self.products + 1);
+        for i in [usize::from(product.0), self.products] {
+            self.own.tests[i].observe(trial, many, bad);
+        }
+        if timed > 0 {
+            self.own.tests[last].observe(trial, f64::from(timed), f64::from(late));
+        }
+    }
+
+    /// Learns from an own outcome, and keeps it for the judges.
+    fn note(&mut self, trial: Option<ApplianceId>, product: Product, counts: [u8; 4]) {
+        if product.0 as usize >= self.products || self.own.tests.is_empty() {
+            return;
+        }
+        self.learn(trial, product, counts);
+        let sums = self.own.report.entry((trial, product)).or_default();
+        for (sum, count) in sums.iter_mut().zip(counts) {
+            *sum = sum.saturating_add(count);
+        }
+    }
+
+    /// Passes outcomes on to the judges, a message a dwell at most and none without one of the trial's: the
+    /// build, this life of the agent, a serial number, and records of 9 octets.
+    fn report(&mut self, now: Duration, news: News, chance: &mut Pcg64Mcg, out: &mut dyn Decisions) {
+        let heard = self.own.report.keys().any(|(trial, _)| trial.is_some());
+        if !self.peers || !heard || now < self.own.report_at || self.own.build != Some(news.build) {
+            return;
+        }
+        self.own.report_at = now + self.dwell.mul_f64(chance.random_range(0.5..0.8));
+        self.own.serial += 1;
+        let mut octets = news.build.0.to_be_bytes().to_vec();
+        octets.extend((self.own.life.as_millis() as u32).to_be_bytes());
+        octets.extend(self.own.serial.to_be_bytes());
+        while octets.len() + RECORD <= LONGEST
+            && let Some(((trial, product), counts)) = self.own.report.pop_last()
+        {
+            octets.extend(trial.map_or(u32::MAX, |a| a.0).to_be_bytes());
+            octets.push(product.0);
+            octets.extend(counts);
+        }
+        for judge in self.judges(news.build).filter(|judge| *judge != self.me) {
+            out.tell(Some(judge), &octets);
+        }
+    }
+
+    /// Takes a report: only of the build in hand, newer than the last of its sender, about known products
+    /// and appliances. What is lost, late, doubled or malformed is left out and changes nothing.
+    fn told(&mut self, from: AgentId, octets: &[u8], fleet: &Fleet) {
+        let Some(build) =
+            self.own.build.filter(|b| self.judging(*b) && octets.starts_with(&b.0.to_be_bytes()))
+        else {
+            return;
+        };
+        let Some((version, records)) = octets[2..].split_first_chunk::<8>() else { return };
+        let last = self.own.heard.entry(from).or_default();
+        if from.0 >= self.agents || octets.len() > LONGEST || records.len() % RECORD > 0 || *last >= *version
+        {
+            return;
+        }
+        *last = *version;
+        for r in records.chunks_exact(RECORD) {
+            let at = ApplianceId(u32::from_be_bytes([r[0], r[1], r[2], r[3]]));
+            let trial = (at.0 < u32::MAX).then_some(at);
+            let known = trial.is_none() || fleet.0.get(&at).is_some_and(|a| a.line.build == build);
+            if known && usize::from(r[4]) < self.products {
+                self.learn(trial, Product(r[4]), [r[5], r[6], r[7], r[8]]);
+            }
+        }
     }
 
     fn begin(&mut self, build: Build, calm: f64, bore: f64) {
         (self.own.build, self.own.calm, self.own.bore) = (Some(build), calm, bore);
+        self.own.report.clear();
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
@@ -258,7 +349,11 @@
             (_, true) => 3,
             _ => 1,
         };
-        (shown && now >= newest + WAIT * waits && now >= news.since + self.dwell).then_some(Verdict::On)
+        // The judges go first; others stand in, spread by chance, if none of them speaks.
+        let after =
+            if self.judging(build) { Duration::ZERO } else { WAIT.mul_f64(1.0 + 2.0 * self.own.turn) };
+        let due = newest + WAIT * waits + after;
+        (shown && now >= due && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
     fn round(&mut self, now: Duration, roster: &Roster, news: News, lost: f64, out: &mut dyn Decisions) {
@@ -266,7 +361,8 @@
             self.own.well = now;
         }
         let doubt = news.course == Course::OnTrial && self.own.tests.iter().any(Test::doubtful);
-        if self.peers && doubt && self.own.build == Some(news.build) && now >= self.own.warn_at {
+        let own = self.own.build == Some(news.build) && self.judging(news.build);
+        if self.peers && doubt && own && now >= self.own.warn_at {
             self.own.warn_at = now + self.dwell / 2;
             out.tell(None, &news.build.0.to_be_bytes());
         }
@@ -354,6 +450,7 @@
             beat = self.attend(id, out).map_or(beat, |next| beat.min(next));
         }
         if let Some(news) = self.exposure.news {
+            self.jury.report(now, news, &mut self.chance, out);
             self.jury.round(now, &self.roster, news, self.stock.lost, out);
         }
         // A beat, so that waits end without an event.
@@ -640,9 +737,11 @@
         }
         let trial = self.jury.on_trial(o.build).then_some(at);
         let arm = usize::from(trial.is_some());
-        self.jury.own.flow[arm].add(self.now, RECENT, 1.0);
-        let [early, late] = self.jury.own.flow.map(|f| f.read(self.now, RECENT));
-        let beside = early > f64::max(1.0, late / 4.0) && late > 1.0;
+        // For as long as this agent takes to be served enough.
+        let half = Duration::from_secs_f64(ENOUGH / self.stock.served.max(1.0)).clamp(RECENT, USUAL);
+        self.jury.own.flow[arm].add(self.now, half, 1.0);
+        let [early, late] = self.jury.own.flow.map(|f| f.read(self.now, half));
+        let beside = early > f64::max(0.5, late / 4.0) && late > 0.5;
         // Earlier outcomes count only in the same period as the trial's.
         if trial.is_none() && !beside {
             return;
@@ -650,24 +749,18 @@
         let fair =
             beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.queue(terms.sla) < QUEUE;
         let score = match ending {
-            Ending::Failed => 1.0,
-            Ending::Served => f64::from(u8::from(fair && took > terms.sla * 2)),
-            Ending::TimedOut | Ending::CalledOff if fair && alive && took > terms.sla * 2 => 1.0,
+            Ending::Failed => 1,
+            Ending::Served => u8::from(fair && took > terms.sla * 2),
+            Ending::TimedOut | Ending::CalledOff if fair && alive && took > terms.sla * 2 => 1,
             _ => return,
         };
-        for test in [usize::from(o.product.0), self.jury.products] {
-            self.jury.own.tests[test].observe(trial, score);
-        }
-        if !fair {
-            return;
-        }
         // A build that needs more work seldom passes twice the SLA time: against the same model's usual time
         // at earlier builds, for work between the rough hint and the usual, half as much again counts as bad.
         let model = self.roster.fleet.0.get(&at).and_then(|a| self.jury.own.paces.get(&a.line.model));
-        if let (Some(pace), Some(test), Ending::Served) = (model, self.jury.own.tests.last_mut(), ending) {
-            let late = took.as_secs_f64() > 1.5 * pace * (o.work + self.stock.usual_work) / 2.0;
-            test.observe(trial, f64::from(u8::from(late)));
-        }
+        let timed = model.filter(|_| fair && ending == Ending::Served);
+        let slow = |pace: &f64| took.as_secs_f64() > 1.5 * pace * (o.work + self.stock.usual_work) / 2.0;
+        let counts = [1, score, u8::from(timed.is_some()), u8::from(timed.is_some_and(slow))];
+        self.jury.note(trial, o.product, counts);
     }
 }
 
@@ -779,6 +872,8 @@
         if course == Course::OnTrial && self.jury.own.build != Some(build) {
             // An agent that restarted amid a trial has no time before it to compare with.
             let (borne, weight) = self.demand.borne.read(self.now, USUAL);
+            self.jury.own.turn = self.chance.random();
+            self.jury.own.life = self.exposure.windows.started.unwrap_or_default();
             let known = self.exposure.windows.started.is_some_and(|s| s + USUAL / 4 < self.now);
             self.jury.begin(build, self.stock.usual_pace, if known { borne / weight.max(1e-9) } else { 0.0 });
         }
@@ -788,7 +883,8 @@
         self.exposure.news = Some(News { build, stage, course, cap, since });
     }
 
-    fn peer(&mut self, _: AgentId, octets: &[u8]) {
+    fn peer(&mut self, from: AgentId, octets: &[u8]) {
+        self.jury.told(from, octets, &self.roster.fleet);
         if self.jury.own.build.is_some_and(|b| octets == b.0.to_be_bytes()) {
             self.jury.own.warned = self.now + self.jury.dwell;
         }
@@ -803,12 +899,9 @@
     fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration) {
         let sent = self.now.saturating_sub(sent_ago);
         let Some(a) = self.roster.fleet.0.get(&at) else { return };
-        let (trial, young) = (self.jury.on_trial(a.line.build), self.thaw.young(&a.line, sent));
         // The outcome it names was counted as good.
-        for i in [usize::from(product.0), self.jury.products] {
-            if let Some(test) = self.jury.own.tests.get_mut(i).filter(|_| !young) {
-                test.put(trial.then_some(at), 0.0, 1.0);
-            }
+        if !self.thaw.young(&a.line, sent) {
+            self.jury.note(self.jury.on_trial(a.line.build).then_some(at), product, [0, 1, 0, 0]);
         }
     }
 }
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -68,15 +68,17 @@
     pub(crate) rolling: bool,
     pub(crate) peers: bool,
     pub(crate) products: usize,
+    pub(crate) me: AgentId,
+    pub(crate) agents: u32,
     pub(crate) own: Judged,
 }
 
 impl Jury {
     pub fn new(
         gate: Gate, rings: Vec<f64>, dwell: Duration, calls: Calls, rolling: bool, peers: bool,
-        products: usize,
+        products: usize, me: AgentId, agents: u32,
     ) -> Self {
-        Jury { gate, rings, dwell, calls, rolling, peers, products, own: Judged::default() }
+        Jury { gate, rings, dwell, calls, rolling, peers, products, me, agents, own: Judged::default() }
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -277,6 +277,15 @@
     /// When to tell peers of a doubt again, and until when a peer's doubt counts.
     pub(crate) warn_at: Duration,
     pub(crate) warned: Duration,
+    /// Where in the spread of those who stand in for the judges this agent votes, 0 to 1.
+    pub(crate) turn: f64,
+    /// Outcomes to report, when next, when this life of the agent began, and the last report's number.
+    pub(crate) report: BTreeMap<(Option<ApplianceId>, Product), [u8; 4]>,
+    pub(crate) report_at: Duration,
+    pub(crate) life: Duration,
+    pub(crate) serial: u32,
+    /// The version of the last report from each sender.
+    pub(crate) heard: BTreeMap<AgentId, [u8; 8]>,
 }
 
 /// An appliance that txns may choose, and its odds.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -115,7 +115,8 @@
         let gate = if set("clocked", 0.0) > 0.0 { Gate::Clocked } else { Gate::Single };
         let rings = vec![0.05, 0.2, 0.5, 1.0];
         let dwell = Duration::from_millis(1500);
-        let jury = Jury::new(gate, rings, dwell, calls, true, true, self.products.len());
+        let (me, agents) = (AgentId(set("me", 0.0) as u32), set("agents", 1.0) as u32);
+        let jury = Jury::new(gate, rings, dwell, calls, true, true, self.products.len(), me, agents);
         let second = set("second-copies", 0.0) > 0.0;
         let desk = Desk::new(self.products.clone(), 3, second, true, Duration::from_secs(1), tick);
         Brain::new(7, roster, thaw, exposure, jury, desk)
@@ -250,8 +251,9 @@
             ["test", xb, xn, yb, yn, "p", p] => {
                 let [xb, xn, yb, yn] = [xb, xn, yb, yn].map(|n| n.parse::<u32>().expect("a count"));
                 let mut test = Test::new(0.02, 0.1, 0.05);
-                (0..xn).for_each(|i| test.observe(None, f64::from(u8::from(i < xb))));
-                (0..yn).for_each(|i| test.observe(Some(ApplianceId(1)), f64::from(u8::from(i >= yn - yb))));
+                (0..xn).for_each(|i| test.observe(None, 1.0, f64::from(u8::from(i < xb))));
+                (0..yn)
+                    .for_each(|i| test.observe(Some(ApplianceId(1)), 1.0, f64::from(u8::from(i >= yn - yb))));
                 let p: f64 = p.parse().expect("a number");
                 assert!((test.p - p).abs() < 1e-4, "p is {}", test.p);
             }
