An appliance's speed counts once in the choice, in the odds

Cause: the odds went by speed and the cost of the two choices went by it again; with none out of their own, small agents all crowded the fastest (busiest at twice the mean). The cost is now against what is usual there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,14 +19,20 @@
 /// What is usual fades by half in this long.
 const USUAL: Duration = Duration::from_secs(10);
 
-/// Its own pace, drawn to the usual one while it has answered little of late. Silence counts before any
+/// Its own pace in the long run, drawn to that of all while it is little known.
+fn usual(a: &Appliance, now: Duration, stock: &Stock) -> f64 {
+    let (took, worked) = a.record.usual.read(now, USUAL);
+    ((took + stock.usual_pace) / (worked + 1.0)).max(1e-3)
+}
+
+/// Its own pace, drawn to its usual one while it has answered little of late. Silence counts before any
 /// answer does, unless what was sent later has come back.
 fn pace(a: &Appliance, now: Duration, stock: &Stock) -> f64 {
     let (took, worked) = a.record.recent.read(now, RECENT);
     let prior = 2.0 * stock.usual_work;
     let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work.max(stock.usual_work);
     let stalled = a.out.values().filter(|o| o.sent > a.record.passed).map(stall).fold(0.0, f64::max) / 3.0;
-    stalled.max((took + prior * stock.usual_pace) / (worked + prior))
+    stalled.max((took + prior * usual(a, now, stock)) / (worked + prior))
 }
 
 /// Leaves an appliance alone for a while, twice as long each time in a row.
@@ -467,6 +473,7 @@
         (self.stock.next, self.stock.heard) = (now + self.desk.tick * 20, 0);
         let fleet = &self.roster.fleet;
         let listed = fleet.weight() * passed.as_secs_f64();
+        self.stock.weight = fleet.weight() / fleet.ready().count().max(1) as f64;
         self.demand.borne.add(now, USUAL, 0.0, listed);
         self.demand.bears.add(now, USUAL / 2, 0.0, listed);
         self.stock.usual_pace = fleet.pace(now, USUAL, |_| true).unwrap_or(1.0);
@@ -618,11 +625,9 @@
             let model = self.jury.own.paces.get(&a.line.model).copied().unwrap_or(self.stock.usual_pace);
             listed[arm] += weight / model.max(1e-3);
             out[arm] += a.out.len() as f64;
-            // Its own pace in the long run, drawn to that of all while it is little known.
-            let (took, worked) = a.record.usual.read(now, USUAL);
-            let usual = ((took + self.stock.usual_pace) / (worked + 1.0)).max(1e-3);
-            sums[arm] += weight / usual;
-            seats[arm].push(Seat { id, odds: weight / usual });
+            let odds = weight / usual(a, now, &self.stock);
+            sums[arm] += odds;
+            seats[arm].push(Seat { id, odds });
         }
         // Nor does the trial get its share while more waits there, for its size, than elsewhere. Guards
         // against few, slow machines that queue and look like a slow build: unlike loads do not compare.
@@ -693,11 +698,13 @@
         None
     }
 
-    /// What a txn may expect to wait there, against the others.
+    /// What a txn may expect to wait there, against what is usual there: speed and size are in the odds
+    /// already. Counted twice they would crowd the fastest wherever agents have little out of their own.
     fn cost(&self, a: &Appliance) -> f64 {
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 2.0 };
-        let pace = pace(a, self.now, &self.stock) / (1.0 - 0.9 * a.record.fails.share(self.now, RECENT, 1.0));
-        pace * (1.0 + a.out.len() as f64) * across / a.weight().max(1e-3)
+        let pace = pace(a, self.now, &self.stock) / usual(a, self.now, &self.stock);
+        let out = a.out.len() as f64 * self.stock.weight / a.weight().max(1e-3);
+        across * (1.0 + out) * pace / (1.0 - 0.9 * a.record.fails.share(self.now, RECENT, 1.0))
     }
 
     /// The one place that every submission passes.
--- a/src/state.rs
+++ b/src/state.rs
@@ -308,6 +308,8 @@
     pub(crate) panic: bool,
     /// What a unit of listed weight is seen to bear.
     pub(crate) fair: f64,
+    /// Mean listed weight of an appliance.
+    pub(crate) weight: f64,
     /// Work in hand, and to come in the span that the rule on cold appliances looks at.
     pub(crate) due: f64,
     /// Time for a unit of hinted work: long-run mean of all appliances, and the middle appliance's now.
