--- a/src/brain.rs
+++ b/src/brain.rs
@@ -493,6 +493,8 @@
         }
         self.arrange();
         let (fleet, Some(judged)) = (&self.roster.fleet, self.jury.own.build) else { return };
+        let carries = fleet.ready().filter(|(_, a)| a.line.build >= judged).map(|(_, a)| a.weight());
+        self.stock.spread = carries.sum::<f64>() / fleet.weight().max(1e-9);
         let earlier = |a: &Appliance| a.line.build < judged;
         for model in
             fleet.ready().filter(|(_, a)| earlier(a)).map(|(_, a)| a.line.model).collect::<BTreeSet<_>>()
@@ -511,7 +513,11 @@
         let (served, taken) = self.demand.met.read(now, USUAL / 2);
         let kept = borne / (weight * self.jury.own.bore).max(1e-9);
         // Only of an agent with enough traffic to tell, and a queue now; with no past, nothing reads as lost.
+        // Nor is a build to blame for more than its part of the fleet could take away, or by an agent that
+        // does not judge: of hundreds one always has a bad day.
         let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.crowding() > QUEUE;
+        let sure =
+            sure && self.stock.spread > LOST && self.jury.own.build.is_some_and(|b| self.jury.judging(b));
         self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -308,6 +308,8 @@
     pub(crate) panic: bool,
     /// What a unit of listed weight is seen to bear.
     pub(crate) fair: f64,
+    /// What part of the listed weight carries the build in judgement.
+    pub(crate) spread: f64,
     /// Mean listed weight of an appliance.
     pub(crate) weight: f64,
     /// Work in hand, and to come in the span that the rule on cold appliances looks at.
