What was borne, served and taken is pooled at the judges, as outcomes are

Cause: a judge with little traffic of its own cannot see lost capacity; builds that slow old and new alike went through. Reports carry four sums more.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -265,18 +265,26 @@
         }
     }
 
-    /// Passes outcomes on to the judges, a message a dwell at most and none without one of the trial's: the
-    /// build, this life of the agent, a serial number, and records of 9 octets.
+    /// Passes on to the judges what was borne, would usually be, was served and taken since, and outcomes: at
+    /// most a message a dwell, none without an outcome of the trial's: the build, this life of the agent, a
+    /// serial number, four sums, and records of 9 octets.
     fn report(&mut self, now: Duration, news: News, chance: &mut Pcg64Mcg, out: &mut dyn Decisions) {
         let heard = self.own.report.keys().any(|(trial, _)| trial.is_some());
-        if !self.peers || !heard || now < self.own.report_at || self.own.build != Some(news.build) {
+        if !heard || now < self.own.report_at || self.own.build != Some(news.build) {
             return;
         }
         self.own.report_at = now + self.dwell.mul_f64(chance.random_range(0.5..0.8));
+        let sums = self.own.sums.each_mut().map(|sum| {
+            let whole = sum.floor().clamp(0.0, f64::from(u16::MAX));
+            *sum -= whole;
+            whole as u16
+        });
+        self.pool(now, sums);
         self.own.serial += 1;
         let mut octets = news.build.0.to_be_bytes().to_vec();
         octets.extend((self.own.life.as_millis() as u32).to_be_bytes());
         octets.extend(self.own.serial.to_be_bytes());
+        octets.extend(sums.iter().flat_map(|sum| sum.to_be_bytes()));
         while octets.len() + RECORD <= LONGEST
             && let Some(((trial, product), counts)) = self.own.report.pop_last()
         {
@@ -284,26 +292,37 @@
             octets.push(product.0);
             octets.extend(counts);
         }
+        if !self.peers {
+            return;
+        }
         for judge in self.judges(news.build).filter(|judge| *judge != self.me) {
             out.tell(Some(judge), &octets);
         }
     }
 
+    fn pool(&mut self, now: Duration, sums: [u16; 4]) {
+        let [borne, usual, served, taken] = sums.map(f64::from);
+        self.own.kept.add(now, USUAL / 2, borne, usual);
+        self.own.met.add(now, USUAL / 2, served, taken);
+    }
+
     /// Takes a report: only of the build in hand, newer than the last of its sender, about known products
     /// and appliances. What is lost, late, doubled or malformed is left out and changes nothing.
-    fn told(&mut self, from: AgentId, octets: &[u8], fleet: &Fleet) {
+    fn told(&mut self, now: Duration, from: AgentId, octets: &[u8], fleet: &Fleet) {
         let Some(build) =
             self.own.build.filter(|b| self.judging(*b) && octets.starts_with(&b.0.to_be_bytes()))
         else {
             return;
         };
-        let Some((version, records)) = octets[2..].split_first_chunk::<8>() else { return };
+        let Some((version, rest)) = octets[2..].split_first_chunk::<8>() else { return };
+        let Some((sums, records)) = rest.split_first_chunk::<8>() else { return };
         let last = self.own.heard.entry(from).or_default();
         if from.0 >= self.agents || octets.len() > LONGEST || records.len() % RECORD > 0 || *last >= *version
         {
             return;
         }
         *last = *version;
+        self.pool(now, [0, 2, 4, 6].map(|i| u16::from_be_bytes([sums[i], sums[i + 1]])));
         for r in records.chunks_exact(RECORD) {
             let at = ApplianceId(u32::from_be_bytes([r[0], r[1], r[2], r[3]]));
             let trial = (at.0 < u32::MAX).then_some(at);
@@ -317,6 +336,7 @@
     fn begin(&mut self, build: Build, calm: f64, bore: f64) {
         (self.own.build, self.own.calm, self.own.bore) = (Some(build), calm, bore);
         self.own.report.clear();
+        (self.own.sums, self.own.kept, self.own.met) = Default::default();
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
@@ -475,7 +495,7 @@
         let listed = fleet.weight() * passed.as_secs_f64();
         self.stock.weight = fleet.weight() / fleet.ready().count().max(1) as f64;
         self.demand.borne.add(now, USUAL, 0.0, listed);
-        self.demand.bears.add(now, USUAL / 2, 0.0, listed);
+        self.jury.own.sums[1] += 100.0 * self.jury.own.bore * listed;
         self.stock.usual_pace = fleet.pace(now, USUAL, |_| true).unwrap_or(1.0);
         self.stock.usual_work = self.demand.work(now, USUAL, |_| true).unwrap_or(1e-3).max(1e-4);
         let mut paces: Vec<f64> = fleet.ready().map(|(_, a)| pace(a, now, &self.stock)).collect();
@@ -509,16 +529,14 @@
         let now = self.now;
         self.stock.served =
             self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
-        let (borne, weight) = self.demand.bears.read(now, USUAL / 2);
-        let (served, taken) = self.demand.met.read(now, USUAL / 2);
-        let kept = borne / (weight * self.jury.own.bore).max(1e-9);
-        // Only of an agent with enough traffic to tell, and a queue now; with no past, nothing reads as lost.
-        // Nor is a build to blame for more than its part of the fleet could take away, or by an agent that
-        // does not judge: of hundreds one always has a bad day.
-        let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.crowding() > QUEUE;
-        let sure =
-            sure && self.stock.spread > LOST && self.jury.own.build.is_some_and(|b| self.jury.judging(b));
-        self.stock.lost = if sure { 1.0 - kept.max(served / taken) } else { 0.0 };
+        // Only with enough traffic to tell; with no past, nothing reads as lost. Nor is a build to blame for
+        // more than its part of the fleet could take away, or by an agent that does not judge: of hundreds
+        // one always has a bad day.
+        let ((borne, usual), (served, taken)) =
+            (self.jury.own.kept.read(now, USUAL / 2), self.jury.own.met.read(now, USUAL / 2));
+        let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.stock.spread > LOST;
+        let sure = sure && usual > 0.0 && self.jury.own.build.is_some_and(|b| self.jury.judging(b));
+        self.stock.lost = if sure { 1.0 - f64::max(borne / usual, served / taken) } else { 0.0 };
     }
 
     /// Does what is due for a txn, and says when to look at it again without an event.
@@ -594,11 +612,6 @@
         (wait - idle) / of.as_secs_f64().max(1e-6)
     }
 
-    /// The same for the product with the tightest SLA time.
-    fn crowding(&self) -> f64 {
-        self.desk.products.iter().map(|t| self.queue(t.sla)).fold(0.0, f64::max)
-    }
-
     fn give_up(&mut self, id: TxnId, out: &mut dyn Decisions) {
         let Some(h) = self.desk.held.remove(&id) else { return };
         let safe = matches!(h.terms.repeat, Repeat::InquiryLike | Repeat::Referenced(Group::All));
@@ -784,6 +797,7 @@
         let lane = self.exposure.lane(txn.product);
         self.exposure.windows.taken.entry(lane).or_default().push_back(now);
         self.stock.heard += 1;
+        self.jury.own.sums[3] += 1.0;
         self.demand.met.add(now, USUAL / 2, 0.0, 1.0);
         if let Some(hint) = txn.hint {
             self.demand.hints.entry(txn.product).or_default().add(now, USUAL, hint.as_secs_f64(), 1.0);
@@ -811,6 +825,9 @@
                     a.record.served(now, (RECENT, USUAL), took, o.work);
                 }
                 self.demand.served(now, (RECENT, USUAL), o.work);
+                let known = f64::from(u8::from(self.jury.own.bore > 0.0));
+                self.jury.own.sums[0] += 100.0 * o.work * known;
+                self.jury.own.sums[2] += 1.0;
                 if now >= a.record.barred_until {
                     a.record.bar = Duration::ZERO;
                 }
@@ -897,7 +914,7 @@
     }
 
     fn peer(&mut self, from: AgentId, octets: &[u8]) {
-        self.jury.told(from, octets, &self.roster.fleet);
+        self.jury.told(self.now, from, octets, &self.roster.fleet);
         if self.jury.own.build.is_some_and(|b| octets == b.0.to_be_bytes()) {
             self.jury.own.warned = self.now + self.jury.dwell;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -188,8 +188,6 @@
     pub(crate) hints: BTreeMap<Product, Ratio>,
     /// Served work, and listed weight x time: what a unit of weight is seen to bear.
     pub(crate) borne: Ratio,
-    /// The same over a shorter time.
-    pub(crate) bears: Ratio,
     /// Submissions served of late.
     pub(crate) lately: Fading,
     /// Submissions turned away unseen, and all that ended.
@@ -210,7 +208,6 @@
     pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), work: f64) {
         self.lately.add(now, halves.0, 1.0);
         self.borne.add(now, halves.1, work, 0.0);
-        self.bears.add(now, halves.1 / 2, work, 0.0);
         self.met.add(now, halves.1 / 2, 1.0, 0.0);
     }
 }
@@ -282,6 +279,11 @@
     /// Outcomes to report, when next, when this life of the agent began, and the last report's number.
     pub(crate) report: BTreeMap<(Option<ApplianceId>, Product), [u8; 4]>,
     pub(crate) report_at: Duration,
+    /// Work borne and usual (in hundredths of a second), txns served and taken, since the last report.
+    pub(crate) sums: [f64; 4],
+    /// The same, pooled over those that report: borne of usual, served of taken.
+    pub(crate) kept: Ratio,
+    pub(crate) met: Ratio,
     pub(crate) life: Duration,
     pub(crate) serial: u32,
     /// The version of the last report from each sender.
