Declines also go by what came too late of late

Guards against queues everywhere, whatever causes them; it harms where a few appliances alone are late for one agent.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -529,6 +529,8 @@
         let now = self.now;
         self.stock.served =
             self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
+        let few = Duration::from_secs_f64(ENOUGH / 4.0 / self.stock.served.max(1.0));
+        self.stock.few = few.clamp(RECENT, USUAL);
         // Only with enough traffic to tell; with no past, nothing reads as lost. Nor is a build to blame for
         // more than its part of the fleet could take away, or by an agent that does not judge: of hundreds
         // one always has a bad day.
@@ -597,7 +599,10 @@
         let pressure = self.queue(sla_left);
         let from = 0.15 + 0.1 * terms.revenue / most;
         let full = self.demand.full.share(self.now, RECENT, 1.0);
-        self.chance.random::<f64>() < f64::max((pressure - from) / 0.25, full)
+        // What came too late of late: all that an agent sees of a queue with hardly a txn of its own in it.
+        let late = self.demand.late.share(self.now, self.stock.few, 2.0);
+        let strain = f64::max((pressure - from) / 0.25, 2.0 * (late - 0.15));
+        self.chance.random::<f64>() < strain.max(full)
     }
 
     /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is
@@ -819,6 +824,11 @@
             let build = a.line.build;
             let (served, full) = (ending == Ending::Served, ending == Ending::TurnedAway);
             self.demand.full.add(now, RECENT, f64::from(u8::from(full)), 1.0);
+            if served || ending == Ending::TimedOut {
+                let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
+                let late = f64::from(u8::from(!served || took > sla));
+                self.demand.late.add(now, self.stock.few, late, 1.0);
+            }
             let blurred = o.sent < self.woke;
             if served {
                 if !blurred {
--- a/src/state.rs
+++ b/src/state.rs
@@ -192,6 +192,8 @@
     pub(crate) lately: Fading,
     /// Submissions turned away unseen, and all that ended.
     pub(crate) full: Ratio,
+    /// Answers that came after the SLA time or not at all, and all answers.
+    pub(crate) late: Ratio,
     /// Submissions served, and txns taken, in the long run.
     pub(crate) met: Ratio,
     pub(crate) second: Fading,
@@ -321,6 +323,8 @@
     pub(crate) middle_pace: f64,
     /// Mean hinted work of a txn, in seconds.
     pub(crate) usual_work: f64,
+    /// How long the agent takes to be served a few txns.
+    pub(crate) few: Duration,
     /// Submissions served a second, of late.
     pub(crate) served: f64,
     /// Share that goes unserved both of what was borne before the trial and of what is asked now.
