--- a/src/brain.rs
+++ b/src/brain.rs
@@ -768,11 +768,9 @@
         }
         let trial = self.jury.on_trial(o.build).then_some(at);
         let arm = usize::from(trial.is_some());
-        // For as long as this agent takes to be served enough.
-        let half = Duration::from_secs_f64(ENOUGH / self.stock.served.max(1.0)).clamp(RECENT, USUAL);
-        self.jury.own.flow[arm].add(self.now, half, 1.0);
-        let [early, late] = self.jury.own.flow.map(|f| f.read(self.now, half));
-        let beside = early > f64::max(0.5, late / 4.0) && late > 0.5;
+        // Both arms have answered within the agent's last few txns: only then do they compare.
+        self.jury.own.last[arm] = Some(self.now);
+        let beside = self.jury.own.last.iter().all(|t| t.is_some_and(|t| t + self.stock.few >= self.now));
         // Earlier outcomes count only in the same period as the trial's.
         if trial.is_none() && !beside {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -268,8 +268,8 @@
     /// One test for each product, one of failures over all and one of pace over all.
     pub(crate) tests: Vec<Test>,
     pub(crate) build: Option<Build>,
-    /// Outcomes of late: at earlier builds, and at the build on trial.
-    pub(crate) flow: [Fading; 2],
+    /// The last outcome at earlier builds, and at the build on trial.
+    pub(crate) last: [Option<Duration>; 2],
     /// The usual pace of each model at earlier builds.
     pub(crate) paces: BTreeMap<Model, f64>,
     pub(crate) vote: Option<Vote>,
