--- a/src/brain.rs
+++ b/src/brain.rs
@@ -140,10 +140,10 @@
 const RECORD: usize = 9;
 const LONGEST: usize = 256;
 
-/// Share both of what the fleet bore before the trial and of what is asked now that must go unserved to
-/// convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums fade
-/// by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build. After
-/// the release it must last longer than slowdowns of other causes do.
+/// Share both of what the fleet bore in time before the trial and of what is asked now that must be missing
+/// to convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums
+/// fade by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build.
+/// After the release it must last longer than slowdowns of other causes do.
 const LOST: f64 = 0.35;
 
 /// Wait beyond the work, as a share of an SLA time, that counts as a queue.
@@ -265,9 +265,9 @@
         }
     }
 
-    /// Passes on to the judges what was borne, would usually be, was served and taken since, and outcomes: at
-    /// most a message a dwell, none without an outcome of the trial's: the build, this life of the agent, a
-    /// serial number, four sums, and records of 9 octets.
+    /// Passes on to the judges what work was served in time since, would usually be and was asked, and
+    /// outcomes: at most a message a dwell, none without an outcome of the trial's: the build, this life of
+    /// the agent, a serial number, the three sums, and records of 9 octets.
     fn report(&mut self, now: Duration, news: News, chance: &mut Pcg64Mcg, out: &mut dyn Decisions) {
         let heard = self.own.report.keys().any(|(trial, _)| trial.is_some());
         if !heard || now < self.own.report_at || self.own.build != Some(news.build) {
@@ -300,10 +300,10 @@
         }
     }
 
-    fn pool(&mut self, now: Duration, sums: [u16; 4]) {
-        let [borne, usual, served, taken] = sums.map(f64::from);
-        self.own.kept.add(now, USUAL / 2, borne, usual);
-        self.own.met.add(now, USUAL / 2, served, taken);
+    fn pool(&mut self, now: Duration, sums: [u16; 3]) {
+        let [timely, usual, asked] = sums.map(f64::from);
+        self.own.kept.add(now, USUAL / 2, timely, usual);
+        self.own.met.add(now, USUAL / 2, timely, asked);
     }
 
     /// Takes a report: only of the build in hand, newer than the last of its sender, about known products
@@ -315,14 +315,14 @@
             return;
         };
         let Some((version, rest)) = octets[2..].split_first_chunk::<8>() else { return };
-        let Some((sums, records)) = rest.split_first_chunk::<8>() else { return };
+        let Some((sums, records)) = rest.split_first_chunk::<6>() else { return };
         let last = self.own.heard.entry(from).or_default();
         if from.0 >= self.agents || octets.len() > LONGEST || records.len() % RECORD > 0 || *last >= *version
         {
             return;
         }
         *last = *version;
-        self.pool(now, [0, 2, 4, 6].map(|i| u16::from_be_bytes([sums[i], sums[i + 1]])));
+        self.pool(now, [0, 2, 4].map(|i| u16::from_be_bytes([sums[i], sums[i + 1]])));
         for r in records.chunks_exact(RECORD) {
             let at = ApplianceId(u32::from_be_bytes([r[0], r[1], r[2], r[3]]));
             let trial = (at.0 < u32::MAX).then_some(at);
@@ -531,14 +531,20 @@
             self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
         let few = Duration::from_secs_f64(ENOUGH / 4.0 / self.stock.served.max(1.0));
         self.stock.few = few.clamp(RECENT, USUAL);
-        // Only with enough traffic to tell; with no past, nothing reads as lost. Nor is a build to blame for
-        // more than its part of the fleet could take away, or by an agent that does not judge: of hundreds
-        // one always has a bad day.
-        let ((borne, usual), (served, taken)) =
-            (self.jury.own.kept.read(now, USUAL / 2), self.jury.own.met.read(now, USUAL / 2));
-        let sure = now > self.woke + USUAL / 2 && taken > 2.5 * ENOUGH && self.stock.spread > LOST;
-        let sure = sure && usual > 0.0 && self.jury.own.build.is_some_and(|b| self.jury.judging(b));
-        self.stock.lost = if sure { 1.0 - f64::max(borne / usual, served / taken) } else { 0.0 };
+        // Against what it was while the build had little of the fleet: what came before, or went with little
+        // of it, is not its doing. Only with enough traffic to tell, and from an agent that judges: of
+        // hundreds one always has a bad day. An agent with no past reads nothing as lost.
+        let own = &mut self.jury.own;
+        let ((timely, usual), (_, asked)) = (own.kept.read(now, USUAL / 2), own.met.read(now, USUAL / 2));
+        let shares = [timely / usual.max(1e-9), timely / asked.max(1e-9)];
+        let enough = asked > 250.0 * ENOUGH * self.stock.usual_work;
+        if self.stock.spread <= LOST {
+            own.before = if enough { shares.map(|s| s.min(1.0)) } else { [1.0; 2] };
+        }
+        let kept = f64::max(shares[0] / own.before[0].max(0.1), shares[1] / own.before[1].max(0.1));
+        let sure = now > self.woke + USUAL / 2 && enough && self.stock.spread > LOST && usual > 0.0;
+        let judging = self.jury.own.build.is_some_and(|b| self.jury.judging(b));
+        self.stock.lost = if sure && judging { 1.0 - kept } else { 0.0 };
     }
 
     /// Does what is due for a txn, and says when to look at it again without an event.
@@ -800,13 +806,15 @@
         let lane = self.exposure.lane(txn.product);
         self.exposure.windows.taken.entry(lane).or_default().push_back(now);
         self.stock.heard += 1;
-        self.jury.own.sums[3] += 1.0;
         self.demand.met.add(now, USUAL / 2, 0.0, 1.0);
         if let Some(hint) = txn.hint {
             self.demand.hints.entry(txn.product).or_default().add(now, USUAL, hint.as_secs_f64(), 1.0);
         }
         let usual = || self.demand.work(now, USUAL, |p| p == txn.product).unwrap_or(self.stock.usual_work);
         let work = txn.hint.map_or_else(usual, |h| h.as_secs_f64()).max(1e-4);
+        if self.jury.own.bore > 0.0 {
+            self.jury.own.sums[2] += 100.0 * work;
+        }
         self.desk.held.insert(
             id,
             Held { txn, terms, work, arrived: now, legs: Vec::new(), risk: None, luck: Default::default() },
@@ -833,9 +841,10 @@
                     a.record.served(now, (RECENT, USUAL), took, o.work);
                 }
                 self.demand.served(now, (RECENT, USUAL), o.work);
-                let known = f64::from(u8::from(self.jury.own.bore > 0.0));
-                self.jury.own.sums[0] += 100.0 * o.work * known;
-                self.jury.own.sums[2] += 1.0;
+                let terms = self.desk.products.get(usize::from(o.product.0));
+                if self.jury.own.bore > 0.0 && terms.is_some_and(|t| took <= t.sla) {
+                    self.jury.own.sums[0] += 100.0 * o.work;
+                }
                 if now >= a.record.barred_until {
                     a.record.bar = Duration::ZERO;
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -281,11 +281,13 @@
     /// Outcomes to report, when next, when this life of the agent began, and the last report's number.
     pub(crate) report: BTreeMap<(Option<ApplianceId>, Product), [u8; 4]>,
     pub(crate) report_at: Duration,
-    /// Work borne and usual (in hundredths of a second), txns served and taken, since the last report.
-    pub(crate) sums: [f64; 4],
-    /// The same, pooled over those that report: borne of usual, served of taken.
+    /// Work served in time, usual and asked since the last report, in hundredths of a second.
+    pub(crate) sums: [f64; 3],
+    /// The same, pooled over those that report: served in time of usual, and of asked.
     pub(crate) kept: Ratio,
     pub(crate) met: Ratio,
+    /// These two shares as they were while the build had little of the fleet.
+    pub(crate) before: [f64; 2],
     pub(crate) life: Duration,
     pub(crate) serial: u32,
     /// The version of the last report from each sender.
