--- a/crates/drill/src/options.rs
+++ b/crates/drill/src/options.rs
@@ -116,10 +116,12 @@
             wait: pairs.period("family-info.call-timeout")?,
         },
         pairs.word("family-info.layout", &[("side_by_side", false), ("rolling", true)])?,
-        pairs.num("limits.peers")?,
+        Among {
+            me: AgentId(pairs.num("me")?),
+            agents: pairs.num("instances")?,
+            may_tell: pairs.num("limits.peers")?,
+        },
         count,
-        AgentId(pairs.num("me")?),
-        pairs.num("instances")?,
     );
     let desk = Desk::new(
         products,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,9 +1,7 @@
-//! All decisions of an agent. Make the parts from what the deployment is told at its start, put them
-//! together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; decisions
-//! go straight into the writer passed along. What is heard and decided is defined in `port.rs`, what is
-//! remembered in `state.rs`, and `parts.rs` has the parts' settings; why things are decided so, in
-//! `docs/design.md`.
-use std::collections::{BTreeMap, BTreeSet};
+//! All decisions of an agent. Make the parts (`parts.rs`) from what the deployment is told at its start, put
+//! them together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; decisions
+//! go into the writer passed along. The interface is in `port.rs`, what is remembered in `state.rs`, why
+//! things are decided so in `docs/design.md`.
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -12,6 +10,7 @@
 
 use crate::parts::*;
 use crate::port::*;
+use crate::report;
 use crate::state::*;
 
 /// Outcomes and times fade by half in this long: a few answers of a small agent's share of an appliance.
@@ -25,8 +24,7 @@
     ((took + stock.usual_pace) / (worked + 1.0)).max(1e-3)
 }
 
-/// Its own pace, drawn to its usual one while it has answered little of late. Silence counts before any
-/// answer does, unless what was sent later has come back.
+/// Its pace of late, drawn to its usual one. Silence counts too, unless what was sent later has come back.
 fn pace(a: &Appliance, now: Duration, stock: &Stock) -> f64 {
     let (took, worked) = a.record.recent.read(now, RECENT);
     let prior = 2.0 * stock.usual_work;
@@ -69,11 +67,10 @@
         line.started.is_some_and(|s| sent < s + self.ramp * 9 / 8)
     }
 
-    /// Whether a txn keeps this agent's part of the budget. The part is what the agent would send a warm
-    /// appliance of that weight: whatever all agents do, their parts add up to what such an appliance is
-    /// seen to bear, without knowing the others' traffic. A part below one txn is a chance of one: the luck
-    /// that a txn draws once a span must be under the part over twice (for the two choices) what would be
-    /// sent there of all `due` work. Guards against hundreds of agents that each send their first.
+    /// Whether a txn keeps this agent's part of the budget: what it would send a warm appliance of that weight.
+    /// All parts add up to what such an appliance is seen to bear, without knowing the others' traffic. A part
+    /// below one txn is a chance of one, by the luck that a txn draws once a span, against twice (for the two
+    /// choices) what would go there of all `due` work. Guards against hundreds of agents' first txns.
     fn bears(&self, now: Duration, a: &Appliance, fair_rate: f64, h: &Held, due: f64) -> bool {
         let warmth = self.warmth(a.age(now));
         if warmth >= 1.0 {
@@ -96,7 +93,6 @@
         }
     }
 
-    /// What is counted apart.
     fn lane(&self, product: Product) -> Product {
         if self.per_product { product } else { Product(0) }
     }
@@ -111,11 +107,10 @@
         if cap <= 0.0 || (stage.0 < self.guarded && h.terms.repeat != Repeat::InquiryLike) {
             return false;
         }
-        let lane = self.lane(product);
-        let sent = w.sent.get(&(lane, build)).map_or(0, |w| since(w, now.saturating_sub(self.span)));
         // Strictly inside the window, by a tick: an arrival at its very edge may not be counted.
         let edge = (now + self.tick + Duration::from_micros(1)).saturating_sub(self.span);
-        let taken = w.taken.get(&lane).map_or(0, |w| since(w, edge));
+        let (lane, from) = (self.lane(product), now.saturating_sub(self.span));
+        let (sent, taken) = (w.sent_since(lane, build, from), w.taken_since(lane, edge));
         // What an earlier life of this agent sent is not known: its free allowance may be used up.
         let free = if w.started.is_some_and(|s| s + self.span >= now) { 0.0 } else { self.free };
         sent as f64 + 1.0 <= free + cap * taken as f64
@@ -136,14 +131,10 @@
 
 /// How many agents gather the others' outcomes: enough that one is mostly there.
 const JUDGES: u32 = 3;
-/// Octets in a record of a report, and in a message at most.
-const RECORD: usize = 9;
-const LONGEST: usize = 256;
-
-/// Share both of what the fleet bore in time before the trial and of what is asked now that must be missing
-/// to convict a build that slows old and new alike, where Y - X stays near 0; half holds the on. The sums
-/// fade by half in half of [`USUAL`], so that short slowdowns pass; a long one is mistaken for the build.
-/// After the release it must last longer than slowdowns of other causes do.
+
+/// Share of what is usually served in time, and of what is asked, that must be missing to convict a build that
+/// slows old and new alike (Y - X stays near 0); half holds the on. Sums fade by half in half of [`USUAL`], so
+/// that short slowdowns pass; after the release it must last longer than those of other causes.
 const LOST: f64 = 0.35;
 
 /// Wait beyond the work, as a share of an SLA time, that counts as a queue.
@@ -154,37 +145,25 @@
     theta0: f64,
     tau: f64,
     alpha: f64,
-    x: (f64, f64),
-    y: (f64, f64),
-    /// The trial outcomes by appliance.
-    by: BTreeMap<ApplianceId, (f64, f64)>,
+    arms: Arms,
     pub p: f64,
     interval: (f64, f64),
 }
 
 impl Test {
     pub fn new(theta0: f64, tau: f64, alpha: f64) -> Self {
-        let (x, y, by, interval) = ((0.0, 0.0), (0.0, 0.0), BTreeMap::new(), (f64::MIN, f64::MAX));
-        Test { theta0, tau, alpha, x, y, by, p: 1.0, interval }
+        let (arms, interval) = (Arms::default(), (f64::MIN, f64::MAX));
+        Test { theta0, tau, alpha, arms, p: 1.0, interval }
     }
 
     fn estimate(&self) -> f64 {
-        self.y.1 / self.y.0.max(1.0) - self.x.1 / self.x.0.max(1.0)
-    }
-
-    fn put(&mut self, trial: Option<ApplianceId>, many: f64, bad: f64) {
-        let put = |arm: &mut (f64, f64)| *arm = (arm.0 + many, (arm.1 + bad).min(arm.0 + many));
-        put(if trial.is_some() { &mut self.y } else { &mut self.x });
-        if let Some(at) = trial {
-            put(self.by.entry(at).or_default());
-        }
+        self.arms.means().1 - self.arms.means().0
     }
 
     /// Takes outcomes, how many of them bad, and the trial appliance they come from.
     pub fn observe(&mut self, trial: Option<ApplianceId>, many: f64, bad: f64) {
-        self.put(trial, many, bad);
-        let n = self.x.0.min(self.y.0);
-        let (x, y) = (self.x.1 / self.x.0.max(1.0), self.y.1 / self.y.0.max(1.0));
+        self.arms.put(trial, many, bad);
+        let (n, (x, y)) = (self.arms.x.0.min(self.arms.y.0), self.arms.means());
         let v = x * (1.0 - x) + y * (1.0 - y);
         if n < 1.0 || v <= 0.0 {
             return;
@@ -204,20 +183,16 @@
         }
     }
 
-    /// Whether the trial looks worse, on enough outcomes and not just on a few machines.
+    /// Whether the trial looks worse, on enough outcomes, and also without the quarter of its appliances that
+    /// look worst. Guards against bad machines and noisy neighbours that happen to carry the build: a build
+    /// is bad wherever it runs. It harms where only one machine will ever carry it.
     fn doubtful(&self) -> bool {
-        self.y.0 >= ENOUGH && self.estimate() > self.theta0 && self.everywhere()
-    }
-
-    /// Whether the trial is worse also without the quarter of its appliances that look worst. Guards
-    /// against bad machines and noisy neighbours that happen to carry the build: a build is bad wherever it
-    /// runs. It harms where only one machine will ever carry it.
-    fn everywhere(&self) -> bool {
-        let mut by: Vec<_> = self.by.values().copied().collect();
+        let mut by: Vec<_> = self.arms.by.values().copied().collect();
         by.sort_by(|a, b| (b.1 / b.0).total_cmp(&(a.1 / a.0)));
         let rest = by.iter().skip(by.len().div_ceil(4));
         let (n, sum) = rest.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
-        n * 2.0 >= ENOUGH && sum / n - self.x.1 / self.x.0.max(1.0) > self.theta0
+        let elsewhere = n * 2.0 >= ENOUGH && sum / n - self.arms.means().0 > self.theta0;
+        self.arms.y.0 >= ENOUGH && self.estimate() > self.theta0 && elsewhere
     }
 }
 
@@ -228,21 +203,21 @@
 
     /// Those that agents report to: a few, spread by the build, so that hundreds need not hear of each other.
     fn judges(&self, build: Build) -> impl Iterator<Item = AgentId> + use<> {
-        let (agents, some) = (self.agents.max(1), self.agents.clamp(1, JUDGES));
+        let (agents, some) = (self.among.agents.max(1), self.among.agents.clamp(1, JUDGES));
         (0..some).map(move |i| AgentId((u32::from(build.0) + i * agents / some) % agents))
     }
 
     fn judging(&self, build: Build) -> bool {
-        self.judges(build).any(|judge| judge == self.me)
+        self.judges(build).any(|judge| judge == self.among.me)
     }
 
     /// Who is not told the others' outcomes shares the chance of a false alarm with all agents.
     fn level(&self) -> f64 {
         let alone = !self.own.build.is_some_and(|b| self.judging(b));
-        ALPHA / (self.products + 2) as f64 / if alone { f64::from(self.agents) } else { 1.0 }
+        ALPHA / (self.products + 2) as f64 / if alone { f64::from(self.among.agents) } else { 1.0 }
     }
 
-    /// Takes outcomes at a product, how many of them were bad, how many could be timed, and how many were late.
+    /// Takes outcomes at a product.
     fn learn(&mut self, trial: Option<ApplianceId>, product: Product, [many, bad, timed, late]: [u8; 4]) {
         let (many, bad, last) = (f64::from(many), f64::from(bad), self.products + 1);
         for i in [usize::from(product.0), self.products] {
@@ -255,86 +230,51 @@
 
     /// Learns from an own outcome, and keeps it for the judges.
     fn note(&mut self, trial: Option<ApplianceId>, product: Product, counts: [u8; 4]) {
-        if product.0 as usize >= self.products || self.own.tests.is_empty() {
-            return;
-        }
         self.learn(trial, product, counts);
-        let sums = self.own.report.entry((trial, product)).or_default();
-        for (sum, count) in sums.iter_mut().zip(counts) {
-            *sum = sum.saturating_add(count);
-        }
+        self.own.noted(trial, product, counts);
     }
 
-    /// Passes on to the judges what work was served in time since, would usually be and was asked, and
-    /// outcomes: at most a message a dwell, none without an outcome of the trial's: the build, this life of
-    /// the agent, a serial number, the three sums, and records of 9 octets.
+    /// Passes counts of outcomes on to the judges, with what work was served in time since, would usually be
+    /// and was asked: at most a short message a dwell, and none without an outcome of the trial's.
     fn report(&mut self, now: Duration, news: News, chance: &mut Pcg64Mcg, out: &mut dyn Decisions) {
         let heard = self.own.report.keys().any(|(trial, _)| trial.is_some());
         if !heard || now < self.own.report_at || self.own.build != Some(news.build) {
             return;
         }
         self.own.report_at = now + self.dwell.mul_f64(chance.random_range(0.5..0.8));
-        let sums = self.own.sums.each_mut().map(|sum| {
-            let whole = sum.floor().clamp(0.0, f64::from(u16::MAX));
-            *sum -= whole;
-            whole as u16
-        });
-        self.pool(now, sums);
-        self.own.serial += 1;
-        let mut octets = news.build.0.to_be_bytes().to_vec();
-        octets.extend((self.own.life.as_millis() as u32).to_be_bytes());
-        octets.extend(self.own.serial.to_be_bytes());
-        octets.extend(sums.iter().flat_map(|sum| sum.to_be_bytes()));
-        while octets.len() + RECORD <= LONGEST
-            && let Some(((trial, product), counts)) = self.own.report.pop_last()
-        {
-            octets.extend(trial.map_or(u32::MAX, |a| a.0).to_be_bytes());
-            octets.push(product.0);
-            octets.extend(counts);
-        }
-        if !self.peers {
-            return;
-        }
-        for judge in self.judges(news.build).filter(|judge| *judge != self.me) {
+        let sums = self.own.take_sums();
+        self.own.pool(now, USUAL / 2, sums);
+        self.own.version.1 += 1;
+        let octets = report::write(news.build, self.own.version, sums, &mut self.own.report);
+        for judge in self.judges(news.build).filter(|judge| self.among.may_tell && *judge != self.among.me) {
             out.tell(Some(judge), &octets);
         }
     }
 
-    fn pool(&mut self, now: Duration, sums: [u16; 3]) {
-        let [timely, usual, asked] = sums.map(f64::from);
-        self.own.kept.add(now, USUAL / 2, timely, usual);
-        self.own.met.add(now, USUAL / 2, timely, asked);
-    }
-
     /// Takes a report: only of the build in hand, newer than the last of its sender, about known products
     /// and appliances. What is lost, late, doubled or malformed is left out and changes nothing.
     fn told(&mut self, now: Duration, from: AgentId, octets: &[u8], fleet: &Fleet) {
-        let Some(build) =
-            self.own.build.filter(|b| self.judging(*b) && octets.starts_with(&b.0.to_be_bytes()))
-        else {
-            return;
-        };
-        let Some((version, rest)) = octets[2..].split_first_chunk::<8>() else { return };
-        let Some((sums, records)) = rest.split_first_chunk::<6>() else { return };
-        let last = self.own.heard.entry(from).or_default();
-        if from.0 >= self.agents || octets.len() > LONGEST || records.len() % RECORD > 0 || *last >= *version
+        let Some((build, version, sums, entries)) = report::read(octets) else { return };
+        let last = self.own.heard.get(&from).copied().unwrap_or_default();
+        if self.own.build != Some(build)
+            || !self.judging(build)
+            || from.0 >= self.among.agents
+            || version <= last
         {
             return;
         }
-        *last = *version;
-        self.pool(now, [0, 2, 4].map(|i| u16::from_be_bytes([sums[i], sums[i + 1]])));
-        for r in records.chunks_exact(RECORD) {
-            let at = ApplianceId(u32::from_be_bytes([r[0], r[1], r[2], r[3]]));
-            let trial = (at.0 < u32::MAX).then_some(at);
-            let known = trial.is_none() || fleet.0.get(&at).is_some_and(|a| a.line.build == build);
-            if known && usize::from(r[4]) < self.products {
-                self.learn(trial, Product(r[4]), [r[5], r[6], r[7], r[8]]);
+        self.own.heard.insert(from, version);
+        self.own.pool(now, USUAL / 2, sums);
+        for (trial, product, counts) in entries {
+            let at = |id| fleet.0.get(&id).is_some_and(|a: &Appliance| a.line.build == build);
+            if trial.is_none_or(at) && usize::from(product.0) < self.products {
+                self.learn(trial, product, counts);
             }
         }
     }
 
-    fn begin(&mut self, build: Build, calm: f64, bore: f64) {
-        (self.own.build, self.own.calm, self.own.bore) = (Some(build), calm, bore);
+    fn begin(&mut self, build: Build, bore: f64) {
+        (self.own.build, self.own.bore) = (Some(build), bore);
         self.own.report.clear();
         (self.own.sums, self.own.kept, self.own.met) = Default::default();
         let level = self.level();
@@ -370,15 +310,16 @@
         // While an agent doubts, it and those it told wait for more outcomes; over failures, which a good
         // build has not, longer. Guards against agents that wave on what a larger one is about to convict.
         let failing = self.own.tests.iter().rev().skip(1).any(Test::doubtful) || now < self.own.warned;
-        let waits = match (failing, doubt) {
-            (true, _) => 6,
-            (_, true) => 3,
-            _ => 1,
+        let waits = if failing {
+            6
+        } else if doubt {
+            3
+        } else {
+            1
         };
         // The judges go first; others stand in, spread by chance, if none of them speaks.
-        let after =
-            if self.judging(build) { Duration::ZERO } else { WAIT.mul_f64(1.0 + 2.0 * self.own.turn) };
-        let due = newest + WAIT * waits + after;
+        let stand_in = if self.judging(build) { 0.0 } else { 1.0 + 2.0 * self.own.turn };
+        let due = newest + WAIT * waits + WAIT.mul_f64(stand_in);
         (shown && now >= due && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
@@ -388,7 +329,7 @@
         }
         let doubt = news.course == Course::OnTrial && self.own.tests.iter().any(Test::doubtful);
         let own = self.own.build == Some(news.build) && self.judging(news.build);
-        if self.peers && doubt && own && now >= self.own.warn_at {
+        if self.among.may_tell && doubt && own && now >= self.own.warn_at {
             self.own.warn_at = now + self.dwell / 2;
             out.tell(None, &news.build.0.to_be_bytes());
         }
@@ -404,10 +345,10 @@
                 return;
             }
         } else {
-            let line = |t: &Test| format!("{:.0}:{:+.2} p{:.3}", t.y.0, t.estimate(), t.p);
-            let tests = self.own.tests.iter().map(line).collect::<Vec<_>>().join(" ");
-            let (build, stage) = (news.build.0, news.stage.0);
-            out.log(&format!("vote {verdict:?} on build {build} stage {stage} lost {lost:.2} [{tests}]"));
+            let line = |t: &Test| format!(" {:.0}:{:+.2} p{:.3}", t.arms.y.0, t.estimate(), t.p);
+            let tests: String = self.own.tests.iter().map(line).collect();
+            let News { build: Build(build), stage: Stage(stage), .. } = news;
+            out.log(&format!("vote {verdict:?} on build {build} stage {stage} lost {lost:.2}{tests}"));
         }
         self.own.vote = Some(Vote { ballot, sent: now, answer: None });
         out.vote(news.build, news.stage, verdict);
@@ -452,9 +393,8 @@
         // The clock may stand anywhere at the start.
         let started = *self.exposure.windows.started.get_or_insert(now);
         let passed = now.saturating_sub(before.max(started));
-        // A wake-up far too late: the agent, not the fleet, stood still. What was out meanwhile tells
-        // nothing. Guards against a starved or suspended agent that takes its own pauses for a bad build or
-        // bad machines.
+        // A wake-up far too late: the agent itself stood still, and what was out meanwhile tells nothing.
+        // Guards against a starved or suspended agent that takes its own pauses for others' troubles.
         if before >= started && now > self.wake_at + self.desk.tick * 20 {
             self.woke = now;
         }
@@ -468,7 +408,6 @@
         if now >= self.stock.next || self.stock.heard > self.roster.fleet.0.len() {
             self.take_stock();
         }
-        self.count_served();
         let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
         order.sort();
         let mut beat = now + self.desk.tick * 20;
@@ -493,47 +432,29 @@
         (self.stock.next, self.stock.heard) = (now + self.desk.tick * 20, 0);
         let fleet = &self.roster.fleet;
         let listed = fleet.weight() * passed.as_secs_f64();
-        self.stock.weight = fleet.weight() / fleet.ready().count().max(1) as f64;
         self.demand.borne.add(now, USUAL, 0.0, listed);
-        self.jury.own.sums[1] += 100.0 * self.jury.own.bore * listed;
-        self.stock.usual_pace = fleet.pace(now, USUAL, |_| true).unwrap_or(1.0);
-        self.stock.usual_work = self.demand.work(now, USUAL, |_| true).unwrap_or(1e-3).max(1e-4);
+        self.jury.own.work([0.0, self.jury.own.bore * listed, 0.0]);
+        self.stock.measure(now, (RECENT, USUAL), fleet, &self.demand);
         let mut paces: Vec<f64> = fleet.ready().map(|(_, a)| pace(a, now, &self.stock)).collect();
         paces.sort_by(f64::total_cmp);
         self.stock.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.stock.usual_pace);
-        // Silence: several submissions wait far longer than usual and nothing came since the oldest was sent.
-        // Guards against a machine that vanished, froze or was cut off, long before the list tells.
+        // Silence: several submissions wait far longer than usual, and nothing came since the oldest was sent.
+        // Guards against machines that vanished, froze or were cut off, long before the list tells.
         let patience = 6.0 * self.stock.middle_pace * self.stock.usual_work;
         for a in self.roster.fleet.0.values_mut() {
-            if a.unheard_since()
-                .is_some_and(|o| now.saturating_sub(o.max(self.woke)).as_secs_f64() > patience)
-            {
+            let silent = a.unheard_since().map(|o| now.saturating_sub(o.max(self.woke)).as_secs_f64());
+            if silent.is_some_and(|s| s > patience) {
                 strike(&mut a.record, now);
             }
         }
         self.arrange();
-        let (fleet, Some(judged)) = (&self.roster.fleet, self.jury.own.build) else { return };
-        let carries = fleet.ready().filter(|(_, a)| a.line.build >= judged).map(|(_, a)| a.weight());
-        self.stock.spread = carries.sum::<f64>() / fleet.weight().max(1e-9);
-        let earlier = |a: &Appliance| a.line.build < judged;
-        for model in
-            fleet.ready().filter(|(_, a)| earlier(a)).map(|(_, a)| a.line.model).collect::<BTreeSet<_>>()
-        {
-            if let Some(pace) = fleet.pace(now, USUAL, |a| a.line.model == model && earlier(a)) {
-                self.jury.own.paces.insert(model, pace);
-            }
-        }
-    }
-
-    fn count_served(&mut self) {
-        let now = self.now;
-        self.stock.served =
-            self.demand.lately.read(now, RECENT) * std::f64::consts::LN_2 / RECENT.as_secs_f64();
         let few = Duration::from_secs_f64(ENOUGH / 4.0 / self.stock.served.max(1.0));
         self.stock.few = few.clamp(RECENT, USUAL);
-        // Against what it was while the build had little of the fleet: what came before, or went with little
-        // of it, is not its doing. Only with enough traffic to tell, and from an agent that judges: of
-        // hundreds one always has a bad day. An agent with no past reads nothing as lost.
+        let Some(judged) = self.jury.own.build else { return };
+        self.stock.spread = self.roster.fleet.spread(judged);
+        self.jury.own.paces.extend(self.roster.fleet.paces(now, USUAL, judged));
+        // Lost against what was while the build had little of the fleet: what came before is not its doing.
+        // Only with enough traffic to tell, a past, and from a judge: of hundreds one always has a bad day.
         let own = &mut self.jury.own;
         let ((timely, usual), (_, asked)) = (own.kept.read(now, USUAL / 2), own.met.read(now, USUAL / 2));
         let shares = [timely / usual.max(1e-9), timely / asked.max(1e-9)];
@@ -543,8 +464,7 @@
         }
         let kept = f64::max(shares[0] / own.before[0].max(0.1), shares[1] / own.before[1].max(0.1));
         let sure = now > self.woke + USUAL / 2 && enough && self.stock.spread > LOST && usual > 0.0;
-        let judging = self.jury.own.build.is_some_and(|b| self.jury.judging(b));
-        self.stock.lost = if sure && judging { 1.0 - kept } else { 0.0 };
+        self.stock.lost = if sure && self.jury.judging(judged) { 1.0 - kept } else { 0.0 };
     }
 
     /// Does what is due for a txn, and says when to look at it again without an event.
@@ -559,8 +479,8 @@
         if let Some((leg, to, sent, called_off)) = waiting {
             let usual = 4.0 * self.stock.middle_pace * h.work.max(self.stock.usual_work);
             let usual = Duration::from_secs_f64(usual.min(60.0)).max(h.terms.sla / 4);
-            // Given up for lost: nothing comes from there at all, or what was sent there later has come back.
-            // Guards against lost messages and stuck work as well as dead machines.
+            // Given up for lost: nothing comes from there, or what was sent later has come back. Guards
+            // against lost messages and stuck work as well as dead machines.
             let a = self.roster.fleet.0.get(&to);
             let lost = a.is_none_or(|a| a.record.passed > sent || (a.barred() && a.record.heard < sent));
             if !more || sla_left.is_zero() || h.out().count() > 1 {
@@ -597,22 +517,21 @@
         None
     }
 
-    /// Whether so much is out already that this txn would wait too long: the less it earns, the sooner.
-    /// Guards against queues everywhere (bursts, lost machines, shared slowdowns, retry storms), before any
-    /// late answer tells. It harms if SLA times are tighter than an idle appliance can keep.
+    /// Whether this txn would wait too long: the less it earns, the sooner. Guards against queues everywhere
+    /// (bursts, lost machines, shared slowdowns, retry storms). Harms if an idle appliance is late as it is.
     fn crowded(&mut self, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
         let pressure = self.queue(sla_left);
         let from = 0.15 + 0.1 * terms.revenue / most;
         let full = self.demand.full.share(self.now, RECENT, 1.0);
-        // What came too late of late: all that an agent sees of a queue with hardly a txn of its own in it.
+        // What came late: all that an agent sees of a queue with hardly a txn of its own in it.
         let late = self.demand.late.share(self.now, self.stock.few, 2.0);
         let strain = f64::max((pressure - from) / 0.25, 2.0 * (late - 0.15));
         self.chance.random::<f64>() < strain.max(full)
     }
 
-    /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is
-    /// served. A few idle txns beside what was measured keep little traffic from looking like a queue.
+    /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is served.
+    /// A few idle txns beside keep little traffic from looking like a queue.
     fn queue(&self, of: Duration) -> f64 {
         // Nothing can have been served yet by an agent that has just come up.
         if self.exposure.windows.started.is_none_or(|s| self.now < s + RECENT) {
@@ -633,14 +552,12 @@
         }
     }
 
-    /// Lays out what txns choose from: the arms' appliances and odds, and the trial's share of the listed weight.
+    /// Lays out what txns choose from: the arms' appliances and odds, and the trial's share of listed weight.
     fn arrange(&mut self) {
         let (now, fleet) = (self.now, &self.roster.fleet);
         // When most are barred the trouble is not theirs: then bars mean nothing.
         let sick = fleet.ready().filter(|(_, a)| a.barred()).count();
         self.stock.panic = 2 * sick > fleet.ready().count();
-        let (borne, weight) = self.demand.borne.read(now, USUAL);
-        self.stock.fair = borne / weight.max(1e-9);
         let (mut listed, mut out) = ([0.0; 2], [0.0; 2]);
         let (mut seats, mut sums): ([Vec<Seat>; 2], _) = (Default::default(), [0.0; 2]);
         for (id, a) in fleet.ready() {
@@ -650,17 +567,14 @@
             }
             let weight = a.weight() * self.thaw.warmth(a.age(now));
             let arm = usize::from(self.exposure.bound(a.line.build).is_some());
-            // Listed sizes leave out how fast a model is; its pace at earlier builds keeps slow models of
-            // the trial from queueing, which would look like a slow build.
-            let model = self.jury.own.paces.get(&a.line.model).copied().unwrap_or(self.stock.usual_pace);
-            listed[arm] += weight / model.max(1e-3);
+            listed[arm] += weight;
             out[arm] += a.out.len() as f64;
             let odds = weight / usual(a, now, &self.stock);
             sums[arm] += odds;
             seats[arm].push(Seat { id, odds });
         }
-        // Nor does the trial get its share while more waits there, for its size, than elsewhere. Guards
-        // against few, slow machines that queue and look like a slow build: unlike loads do not compare.
+        // No share while more waits at the trial, for its size, than elsewhere. Guards against few, slow
+        // machines that queue and look like a slow build: unlike loads do not compare.
         let queued = out[1] * listed[0] > 1.5 * (out[0] + 1.0) * listed[1] && listed[0] > 0.0;
         self.stock.share = if queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
         for (arm, share) in [1.0 - self.stock.share, self.stock.share].into_iter().enumerate() {
@@ -669,9 +583,7 @@
                 self.roster.fleet.0.entry(seat.id).and_modify(|a| a.part = part);
             }
         }
-        let rate =
-            self.demand.met.read(now, USUAL / 2).1 * std::f64::consts::LN_2 / (USUAL / 2).as_secs_f64();
-        let due = rate * self.thaw.span.as_secs_f64() + self.desk.held.len() as f64;
+        let due = self.stock.asked * self.thaw.span.as_secs_f64() + self.desk.held.len() as f64;
         self.stock.due = due * self.stock.usual_work;
         self.stock.seats = seats;
     }
@@ -728,8 +640,8 @@
         None
     }
 
-    /// What a txn may expect to wait there, against what is usual there: speed and size are in the odds
-    /// already. Counted twice they would crowd the fastest wherever agents have little out of their own.
+    /// What a txn may expect to wait there, against what is usual there: speed and size are in the odds already.
+    /// Counted twice they would crowd the fastest where agents have little out of their own.
     fn cost(&self, a: &Appliance) -> f64 {
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 2.0 };
         let pace = pace(a, self.now, &self.stock) / usual(a, self.now, &self.stock);
@@ -762,11 +674,9 @@
         out.submit(id, to, Duration::ZERO);
     }
 
-    /// Hands an outcome to the tests. What is no answer, or was turned away, says nothing of the build: a
-    /// machine may have died, frozen or been cut off, a queue may be full. Slowness counts only while the
-    /// fleet is not crowded and, at the trial build, beside an earlier one under the same load. Guards
-    /// against bursts, cold starts, dead machines and shared slowdowns; a build that is bad only under
-    /// pressure is seen later for it.
+    /// Hands an outcome to the tests. What is no answer, or was turned away, says nothing of the build: machines
+    /// die, freeze or are cut off, queues fill. Slowness counts only without a queue, and while both builds
+    /// answer. Guards against bursts, cold starts, dead machines and shared slowdowns.
     fn judge(&mut self, at: ApplianceId, o: &Out, ending: Ending, took: Duration, alive: bool) {
         let Some(terms) = self.desk.products.get(usize::from(o.product.0)) else { return };
         if o.mute || self.jury.own.tests.is_empty() {
@@ -774,15 +684,13 @@
         }
         let trial = self.jury.on_trial(o.build).then_some(at);
         let arm = usize::from(trial.is_some());
-        // Both arms have answered within the agent's last few txns: only then do they compare.
+        // Both arms have answered within the agent's last few txns: only then do they compare, and count for X.
         self.jury.own.last[arm] = Some(self.now);
         let beside = self.jury.own.last.iter().all(|t| t.is_some_and(|t| t + self.stock.few >= self.now));
-        // Earlier outcomes count only in the same period as the trial's.
         if trial.is_none() && !beside {
             return;
         }
-        let fair =
-            beside && self.stock.middle_pace < 1.5 * self.jury.own.calm && self.queue(terms.sla) < QUEUE;
+        let fair = beside && self.queue(terms.sla) < QUEUE;
         let score = match ending {
             Ending::Failed => 1,
             Ending::Served => u8::from(fair && took > terms.sla * 2),
@@ -806,19 +714,10 @@
         let lane = self.exposure.lane(txn.product);
         self.exposure.windows.taken.entry(lane).or_default().push_back(now);
         self.stock.heard += 1;
-        self.demand.met.add(now, USUAL / 2, 0.0, 1.0);
-        if let Some(hint) = txn.hint {
-            self.demand.hints.entry(txn.product).or_default().add(now, USUAL, hint.as_secs_f64(), 1.0);
-        }
-        let usual = || self.demand.work(now, USUAL, |p| p == txn.product).unwrap_or(self.stock.usual_work);
-        let work = txn.hint.map_or_else(usual, |h| h.as_secs_f64()).max(1e-4);
-        if self.jury.own.bore > 0.0 {
-            self.jury.own.sums[2] += 100.0 * work;
-        }
-        self.desk.held.insert(
-            id,
-            Held { txn, terms, work, arrived: now, legs: Vec::new(), risk: None, luck: Default::default() },
-        );
+        let work = self.demand.taken(now, USUAL, &txn).unwrap_or(self.stock.usual_work).max(1e-4);
+        self.jury.own.work([0.0, 0.0, work]);
+        let (legs, risk, luck) = Default::default();
+        self.desk.held.insert(id, Held { txn, terms, work, arrived: now, legs, risk, luck });
     }
 
     fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
@@ -828,23 +727,21 @@
         {
             let alive = a.record.heard > o.sent;
             let build = a.line.build;
-            let (served, full) = (ending == Ending::Served, ending == Ending::TurnedAway);
-            self.demand.full.add(now, RECENT, f64::from(u8::from(full)), 1.0);
+            let served = ending == Ending::Served;
+            let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
+            let blurred = o.sent < self.woke;
+            self.demand.full.add(now, RECENT, f64::from(u8::from(ending == Ending::TurnedAway)), 1.0);
             if served || ending == Ending::TimedOut {
-                let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
                 let late = f64::from(u8::from(!served || took > sla));
                 self.demand.late.add(now, self.stock.few, late, 1.0);
             }
-            let blurred = o.sent < self.woke;
+            a.record.ended(now, RECENT, ending, o.sent);
             if served {
                 if !blurred {
                     a.record.served(now, (RECENT, USUAL), took, o.work);
                 }
                 self.demand.served(now, (RECENT, USUAL), o.work);
-                let terms = self.desk.products.get(usize::from(o.product.0));
-                if self.jury.own.bore > 0.0 && terms.is_some_and(|t| took <= t.sla) {
-                    self.jury.own.sums[0] += 100.0 * o.work;
-                }
+                self.jury.own.work([if took <= sla { o.work } else { 0.0 }, 0.0, 0.0]);
                 if now >= a.record.barred_until {
                     a.record.bar = Duration::ZERO;
                 }
@@ -853,21 +750,12 @@
                 self.stock.next = Duration::ZERO;
                 strike(&mut a.record, now);
             }
-            if served || full || matches!(ending, Ending::Failed | Ending::Broken) {
-                a.record.heard = now;
-                a.record.passed = a.record.passed.max(o.sent);
-            }
-            if !matches!(ending, Ending::CalledOff | Ending::Unsent) {
-                a.record.fails.add(now, RECENT, f64::from(u8::from(!served)), 1.0);
-            }
-            // An appliance that fails far more than others of its build is left alone for a while. A build as
-            // a whole is never barred: its failures are the test's evidence.
+            // An appliance that fails far more than others of its build is left alone for a while, a build as a
+            // whole never: its failures are the test's evidence.
             self.stock.heard += 1;
             if !served {
                 let fails = a.record.fails.share(now, RECENT, 1.0);
-                let mates = self.roster.fleet.ready().filter(|(id, a)| *id != at && a.line.build == build);
-                let share = |a: &Appliance| a.record.fails.share(now, RECENT, 1.0);
-                let (many, sum) = mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + share(a)));
+                let (many, sum) = self.roster.fleet.mates(now, RECENT, at, build);
                 if many > 0.0
                     && fails > sum / many + 0.3
                     && let Some(a) = self.roster.fleet.0.get_mut(&at)
@@ -886,12 +774,7 @@
         if closed {
             self.desk.held.remove(&id);
         } else if let Some(h) = self.desk.held.get_mut(&id) {
-            if let Some(l) = h.legs.get_mut(usize::from(leg.0)) {
-                l.ending = Some(ending);
-            }
-            let first = h.legs.iter().find(|l| l.ending.is_none_or(Ending::may_have_run));
-            h.risk = first
-                .and_then(|l| self.roster.fleet.0.get(&l.to).map(|a| (l.sent, a.line.zone, a.line.cell)));
+            h.ended(leg, ending, &self.roster.fleet);
         }
     }
 
@@ -920,9 +803,10 @@
             // An agent that restarted amid a trial has no time before it to compare with.
             let (borne, weight) = self.demand.borne.read(self.now, USUAL);
             self.jury.own.turn = self.chance.random();
-            self.jury.own.life = self.exposure.windows.started.unwrap_or_default();
+            let started = self.exposure.windows.started.unwrap_or_default();
+            self.jury.own.version.0 = started.as_millis() as u32;
             let known = self.exposure.windows.started.is_some_and(|s| s + USUAL / 4 < self.now);
-            self.jury.begin(build, self.stock.usual_pace, if known { borne / weight.max(1e-9) } else { 0.0 });
+            self.jury.begin(build, if known { borne / weight.max(1e-9) } else { 0.0 });
         }
         let same = known.filter(|n| (n.build, n.stage) == (build, stage));
         let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
@@ -948,7 +832,8 @@
         let Some(a) = self.roster.fleet.0.get(&at) else { return };
         // The outcome it names was counted as good.
         if !self.thaw.young(&a.line, sent) {
-            self.jury.note(self.jury.on_trial(a.line.build).then_some(at), product, [0, 1, 0, 0]);
+            let trial = self.jury.on_trial(a.line.build).then_some(at);
+            self.jury.note(trial, product, [0, 1, 0, 0]);
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod brain;
 pub mod parts;
 pub mod port;
+mod report;
 mod state;
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -66,19 +66,17 @@
     pub(crate) dwell: Duration,
     pub(crate) calls: Calls,
     pub(crate) rolling: bool,
-    pub(crate) peers: bool,
+    pub(crate) among: Among,
     pub(crate) products: usize,
-    pub(crate) me: AgentId,
-    pub(crate) agents: u32,
     pub(crate) own: Judged,
 }
 
 impl Jury {
     pub fn new(
-        gate: Gate, rings: Vec<f64>, dwell: Duration, calls: Calls, rolling: bool, peers: bool,
-        products: usize, me: AgentId, agents: u32,
+        gate: Gate, rings: Vec<f64>, dwell: Duration, calls: Calls, rolling: bool, among: Among,
+        products: usize,
     ) -> Self {
-        Jury { gate, rings, dwell, calls, rolling, peers, products, me, agents, own: Judged::default() }
+        Jury { gate, rings, dwell, calls, rolling, among, products, own: Judged::default() }
     }
 }
 
--- a/src/port.rs
+++ b/src/port.rs
@@ -152,6 +152,14 @@
     pub wait: Duration,
 }
 
+/// An agent's place among all agents, and whether it may send them messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Among {
+    pub me: AgentId,
+    pub agents: u32,
+    pub may_tell: bool,
+}
+
 /// A line of the roster.
 #[derive(Clone, Copy, Debug)]
 pub struct Line {
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,43 @@
+//! What agents pass each other, in octets. Nothing here decides anything.
+use crate::port::*;
+use crate::state::{Counts, Report};
+
+const HEAD: usize = 16;
+const RECORD: usize = 9;
+const LONGEST: usize = 256;
+
+/// A life of an agent and a number that grows with each of its reports; later ones compare higher.
+pub(crate) type Version = (u32, u32);
+
+/// The build, the version, the sums, and as many counts of outcomes as fit, those at the trial build first.
+pub(crate) fn write(build: Build, version: Version, sums: [u16; 3], report: &mut Report) -> Vec<u8> {
+    let mut octets = build.0.to_be_bytes().to_vec();
+    octets.extend(version.0.to_be_bytes());
+    octets.extend(version.1.to_be_bytes());
+    octets.extend(sums.iter().flat_map(|sum| sum.to_be_bytes()));
+    while octets.len() + RECORD <= LONGEST
+        && let Some(((trial, product), counts)) = report.pop_last()
+    {
+        octets.extend(trial.map_or(u32::MAX, |a| a.0).to_be_bytes());
+        octets.push(product.0);
+        octets.extend(counts);
+    }
+    octets
+}
+
+pub(crate) type Entry = (Option<ApplianceId>, Product, Counts);
+
+/// Reads such a message; nothing of one that is malformed or too long.
+pub(crate) fn read(octets: &[u8]) -> Option<(Build, Version, [u16; 3], impl Iterator<Item = Entry>)> {
+    let (head, records) = octets.split_at_checked(HEAD)?;
+    let short = |i: usize| u16::from_be_bytes([head[i], head[i + 1]]);
+    let long = |i: usize| u32::from_be_bytes([head[i], head[i + 1], head[i + 2], head[i + 3]]);
+    if octets.len() > LONGEST || records.len() % RECORD > 0 {
+        return None;
+    }
+    let entries = records.chunks_exact(RECORD).map(|r| {
+        let at = ApplianceId(u32::from_be_bytes([r[0], r[1], r[2], r[3]]));
+        ((at.0 < u32::MAX).then_some(at), Product(r[4]), [r[5], r[6], r[7], r[8]])
+    });
+    Some((Build(short(0)), (long(2), long(6)), [10, 12, 14].map(short), entries))
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 
 use crate::brain::Test;
 use crate::port::*;
+use crate::report::Version;
 
 /// A sum whose older parts fade, brought up to date when it is read.
 #[derive(Clone, Copy, Default)]
@@ -70,6 +71,17 @@
 }
 
 impl Record {
+    /// Notes how a submission ended that was sent then.
+    pub(crate) fn ended(&mut self, now: Duration, half: Duration, ending: Ending, sent: Duration) {
+        if matches!(ending, Ending::Served | Ending::TurnedAway | Ending::Failed | Ending::Broken) {
+            self.heard = now;
+            self.passed = self.passed.max(sent);
+        }
+        if !matches!(ending, Ending::CalledOff | Ending::Unsent) {
+            self.fails.add(now, half, f64::from(u8::from(ending != Ending::Served)), 1.0);
+        }
+    }
+
     pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), took: Duration, work: f64) {
         self.recent.add(now, halves.0, took.as_secs_f64(), work);
         self.usual.add(now, halves.1, took.as_secs_f64(), work);
@@ -135,6 +147,29 @@
         self.0.iter().filter(|(_, a)| a.line.mode == Mode::Ready).map(|(&id, a)| (id, a))
     }
 
+    /// How many others run this build, and the sum of their shares of failures.
+    pub(crate) fn mates(&self, now: Duration, half: Duration, at: ApplianceId, build: Build) -> (f64, f64) {
+        let mates = self.ready().filter(|(id, a)| *id != at && a.line.build == build);
+        mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.record.fails.share(now, half, 1.0)))
+    }
+
+    /// The part of the listed weight that carries this build or later ones.
+    pub(crate) fn spread(&self, build: Build) -> f64 {
+        let carries = self.ready().filter(|(_, a)| a.line.build >= build).map(|(_, a)| a.weight());
+        carries.sum::<f64>() / self.weight().max(1e-9)
+    }
+
+    /// The usual pace of each model at builds before this one.
+    pub(crate) fn paces(&self, now: Duration, half: Duration, build: Build) -> BTreeMap<Model, f64> {
+        let mut sums = BTreeMap::<Model, (f64, f64)>::new();
+        for (_, a) in self.ready().filter(|(_, a)| a.line.build < build) {
+            let (took, worked) = a.record.usual.read(now, half);
+            let sum = sums.entry(a.line.model).or_default();
+            *sum = (sum.0 + took, sum.1 + worked);
+        }
+        sums.into_iter().filter(|(_, s)| s.1 > 0.0).map(|(m, s)| (m, s.0 / s.1)).collect()
+    }
+
     /// How many submissions are out, but for those at barred appliances.
     pub(crate) fn out(&self) -> usize {
         self.0.values().filter(|a| !a.barred()).map(|a| a.out.len()).sum()
@@ -176,6 +211,15 @@
 }
 
 impl Held {
+    /// Notes how a submission ended, and which is now the first that may have run.
+    pub(crate) fn ended(&mut self, leg: Leg, ending: Ending, fleet: &Fleet) {
+        if let Some(l) = self.legs.get_mut(usize::from(leg.0)) {
+            l.ending = Some(ending);
+        }
+        let first = self.legs.iter().find(|l| l.ending.is_none_or(Ending::may_have_run));
+        self.risk = first.and_then(|l| fleet.0.get(&l.to).map(|a| (l.sent, a.line.zone, a.line.cell)));
+    }
+
     pub(crate) fn out(&self) -> impl Iterator<Item = (Leg, &Submission)> {
         self.legs.iter().enumerate().filter(|(_, l)| l.ending.is_none()).map(|(i, l)| (Leg(i as u8), l))
     }
@@ -207,6 +251,15 @@
         (many > 0.0).then(|| work / many)
     }
 
+    /// Learns of a txn; its work by its hint, or what is usual for its product.
+    pub(crate) fn taken(&mut self, now: Duration, half: Duration, txn: &Txn) -> Option<f64> {
+        self.met.add(now, half / 2, 0.0, 1.0);
+        if let Some(hint) = txn.hint {
+            self.hints.entry(txn.product).or_default().add(now, half, hint.as_secs_f64(), 1.0);
+        }
+        txn.hint.map(|h| h.as_secs_f64()).or_else(|| self.work(now, half, |p| p == txn.product))
+    }
+
     pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), work: f64) {
         self.lately.add(now, halves.0, 1.0);
         self.borne.add(now, halves.1, work, 0.0);
@@ -225,6 +278,14 @@
 }
 
 impl Windows {
+    pub(crate) fn sent_since(&self, lane: Product, build: Build, from: Duration) -> usize {
+        self.sent.get(&(lane, build)).map_or(0, |times| since(times, from))
+    }
+
+    pub(crate) fn taken_since(&self, lane: Product, from: Duration) -> usize {
+        self.taken.get(&lane).map_or(0, |times| since(times, from))
+    }
+
     pub(crate) fn trim(&mut self, before: Duration) {
         for times in self.taken.values_mut().chain(self.sent.values_mut()) {
             while times.front().is_some_and(|t| *t < before) {
@@ -235,7 +296,7 @@
 }
 
 /// How many of these times, in order, are not before another.
-pub(crate) fn since(times: &VecDeque<Duration>, from: Duration) -> usize {
+fn since(times: &VecDeque<Duration>, from: Duration) -> usize {
     times.len() - times.partition_point(|t| *t < from)
 }
 
@@ -257,11 +318,37 @@
     pub(crate) answer: Option<Ending>,
 }
 
+/// Outcomes: how many, how many of them bad, how many could be timed, and how many of those were late.
+pub(crate) type Counts = [u8; 4];
+/// Outcomes by trial appliance (none: earlier builds) and product.
+pub(crate) type Report = BTreeMap<(Option<ApplianceId>, Product), Counts>;
+
+/// What a test has taken: outcomes and bad ones at earlier builds, at the trial, and by trial appliance.
+#[derive(Default)]
+pub(crate) struct Arms {
+    pub(crate) x: (f64, f64),
+    pub(crate) y: (f64, f64),
+    pub(crate) by: BTreeMap<ApplianceId, (f64, f64)>,
+}
+
+impl Arms {
+    pub(crate) fn put(&mut self, trial: Option<ApplianceId>, many: f64, bad: f64) {
+        let put = |arm: &mut (f64, f64)| *arm = (arm.0 + many, (arm.1 + bad).min(arm.0 + many));
+        put(if trial.is_some() { &mut self.y } else { &mut self.x });
+        if let Some(at) = trial {
+            put(self.by.entry(at).or_default());
+        }
+    }
+
+    pub(crate) fn means(&self) -> (f64, f64) {
+        (self.x.1 / self.x.0.max(1.0), self.y.1 / self.y.0.max(1.0))
+    }
+}
+
 /// What a jury has gathered on the build it judges.
 #[derive(Default)]
 pub(crate) struct Judged {
-    /// When the build was first heard of: the usual pace of all appliances, and what a unit of weight bore.
-    pub(crate) calm: f64,
+    /// What a unit of weight bore when the build was first heard of.
     pub(crate) bore: f64,
     /// When last not too much of what was borne was lost.
     pub(crate) well: Duration,
@@ -278,8 +365,8 @@
     pub(crate) warned: Duration,
     /// Where in the spread of those who stand in for the judges this agent votes, 0 to 1.
     pub(crate) turn: f64,
-    /// Outcomes to report, when next, when this life of the agent began, and the last report's number.
-    pub(crate) report: BTreeMap<(Option<ApplianceId>, Product), [u8; 4]>,
+    /// Outcomes to report, when next, and the last report's version.
+    pub(crate) report: Report,
     pub(crate) report_at: Duration,
     /// Work served in time, usual and asked since the last report, in hundredths of a second.
     pub(crate) sums: [f64; 3],
@@ -288,10 +375,9 @@
     pub(crate) met: Ratio,
     /// These two shares as they were while the build had little of the fleet.
     pub(crate) before: [f64; 2],
-    pub(crate) life: Duration,
-    pub(crate) serial: u32,
+    pub(crate) version: Version,
     /// The version of the last report from each sender.
-    pub(crate) heard: BTreeMap<AgentId, [u8; 8]>,
+    pub(crate) heard: BTreeMap<AgentId, Version>,
 }
 
 /// An appliance that txns may choose, and its odds.
@@ -327,8 +413,55 @@
     pub(crate) usual_work: f64,
     /// How long the agent takes to be served a few txns.
     pub(crate) few: Duration,
+    /// Txns taken a second.
+    pub(crate) asked: f64,
     /// Submissions served a second, of late.
     pub(crate) served: f64,
     /// Share that goes unserved both of what was borne before the trial and of what is asked now.
     pub(crate) lost: f64,
 }
+
+impl Judged {
+    /// The whole part of the sums; the rest stays for the next time.
+    pub(crate) fn take_sums(&mut self) -> [u16; 3] {
+        self.sums.each_mut().map(|sum| {
+            let whole = sum.floor().clamp(0.0, f64::from(u16::MAX));
+            *sum -= whole;
+            whole as u16
+        })
+    }
+
+    pub(crate) fn noted(&mut self, trial: Option<ApplianceId>, product: Product, counts: Counts) {
+        let sums = self.report.entry((trial, product)).or_default();
+        sums.iter_mut().zip(counts).for_each(|(sum, one)| *sum = sum.saturating_add(one));
+    }
+
+    pub(crate) fn pool(&mut self, now: Duration, half: Duration, sums: [u16; 3]) {
+        let [timely, usual, asked] = sums.map(f64::from);
+        self.kept.add(now, half, timely, usual);
+        self.met.add(now, half, timely, asked);
+    }
+
+    /// Learns of one's own work, in seconds, if there is a past to compare it with: served in time, usual, asked.
+    pub(crate) fn work(&mut self, work: [f64; 3]) {
+        if self.bore > 0.0 {
+            self.sums.iter_mut().zip(work).for_each(|(sum, one)| *sum += 100.0 * one);
+        }
+    }
+}
+
+impl Stock {
+    /// Brings what is measured of fleet and demand up to date; the sums fade by these halves.
+    pub(crate) fn measure(
+        &mut self, now: Duration, halves: (Duration, Duration), fleet: &Fleet, demand: &Demand,
+    ) {
+        let rate = |sum: f64, half: Duration| sum * std::f64::consts::LN_2 / half.as_secs_f64();
+        self.weight = fleet.weight() / fleet.ready().count().max(1) as f64;
+        self.usual_pace = fleet.pace(now, halves.1, |_| true).unwrap_or(1.0);
+        self.usual_work = demand.work(now, halves.1, |_| true).unwrap_or(1e-3).max(1e-4);
+        self.served = rate(demand.lately.read(now, halves.0), halves.0);
+        self.asked = rate(demand.met.read(now, halves.1 / 2).1, halves.1 / 2);
+        let (borne, weight) = demand.borne.read(now, halves.1);
+        self.fair = borne / weight.max(1e-9);
+    }
+}
