--- a/src/brain.rs
+++ b/src/brain.rs
@@ -291,7 +291,9 @@
         let grave = if course == Course::Released { GRAVE } else { 0.0 };
         let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
         let long = if course == Course::Released { USUAL * 3 / 2 } else { Duration::ZERO };
-        if self.own.tests.iter().any(worse) || now > self.own.well + long {
+        // Slowness may lie on an agent's own way there: it convicts only for a judge, who hears of many.
+        let spoken = self.products + 1 + usize::from(self.judging(build));
+        if self.own.tests.iter().take(spoken).any(worse) || now > self.own.well + long {
             return Some(Verdict::Back);
         }
         if course != Course::OnTrial {
