--- a/src/brain.rs
+++ b/src/brain.rs
@@ -507,7 +507,10 @@
         let hopeless = sla_left.is_zero() && h.terms.late_share <= 0.0;
         let terms = h.terms;
         let fresh = h.legs.last().is_none_or(|l| l.ending == Some(Ending::TurnedAway));
-        if !more || hopeless || (fresh && self.crowded(&terms, sla_left)) {
+        // Resends go on only as far as they have helped of late. Guards against storms over txns that fail
+        // wherever they go; harms for a while where a trouble has just passed.
+        let vain = self.chance.random::<f64>() > self.demand.again.helped(now, self.stock.few) + 0.1;
+        if !more || hopeless || if fresh { self.crowded(&terms, sla_left) } else { vain } {
             self.give_up(id, out);
             return None;
         }
@@ -737,6 +740,9 @@
                 let late = f64::from(u8::from(!served || took > sla));
                 self.demand.late.add(now, self.stock.few, late, 1.0);
             }
+            if leg.0 > 0 && ending != Ending::TurnedAway {
+                self.demand.again.add(now, self.stock.few, f64::from(u8::from(served)), 1.0);
+            }
             a.record.ended(now, RECENT, ending, o.sent);
             if served {
                 if !blurred {
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,12 @@
         over / (under + beside)
     }
 
+    /// The first as a share of the second, of which there was once one that helped.
+    pub(crate) fn helped(&self, now: Duration, half: Duration) -> f64 {
+        let (over, under) = self.read(now, half);
+        (over + 1.0) / (under + 1.0)
+    }
+
     pub(crate) fn add(&mut self, now: Duration, half: Duration, over: f64, under: f64) {
         self.0.add(now, half, over);
         self.1.add(now, half, under);
@@ -241,6 +247,8 @@
     /// Submissions served, and txns taken, in the long run.
     pub(crate) met: Ratio,
     pub(crate) second: Fading,
+    /// Resends served, and all that ended.
+    pub(crate) again: Ratio,
 }
 
 impl Demand {
