--- a/src/brain.rs
+++ b/src/brain.rs
@@ -509,7 +509,9 @@
         let fresh = h.legs.last().is_none_or(|l| l.ending == Some(Ending::TurnedAway));
         // Resends go on only as far as they have helped of late. Guards against storms over txns that fail
         // wherever they go; harms for a while where a trouble has just passed.
-        let vain = self.chance.random::<f64>() > self.demand.again.helped(now, self.stock.few) + 0.1;
+        let failed = h.legs.last().is_some_and(|l| l.ending == Some(Ending::Failed));
+        let vain =
+            failed && self.chance.random::<f64>() > self.demand.again.helped(now, self.stock.few) + 0.1;
         if !more || hopeless || if fresh { self.crowded(&terms, sla_left) } else { vain } {
             self.give_up(id, out);
             return None;
@@ -740,7 +742,7 @@
                 let late = f64::from(u8::from(!served || took > sla));
                 self.demand.late.add(now, self.stock.few, late, 1.0);
             }
-            if leg.0 > 0 && ending != Ending::TurnedAway {
+            if leg.0 > 0 && matches!(ending, Ending::Served | Ending::Failed) {
                 self.demand.again.add(now, self.stock.few, f64::from(u8::from(served)), 1.0);
             }
             a.record.ended(now, RECENT, ending, o.sent);
