--- a/src/brain.rs
+++ b/src/brain.rs
@@ -137,6 +137,9 @@
 /// that short slowdowns pass; after the release it must last longer than those of other causes.
 const LOST: f64 = 0.35;
 
+/// Share of submissions without a connection at which connections are short.
+const SHORT: f64 = 0.05;
+
 /// Wait beyond the work, as a share of an SLA time, that counts as a queue.
 const QUEUE: f64 = 0.15;
 
@@ -409,6 +412,15 @@
         // The walk over the fleet is made once a beat, or once for as many events as there are appliances.
         if now >= self.stock.next || self.stock.heard > self.roster.fleet.0.len() {
             self.take_stock();
+            // Where connections are refused, idle ones go back at once, so that they go round among agents.
+            // Guards against appliances that accept far fewer than usual; costs handshakes.
+            let short = self.demand.shut.share(now, USUAL, 2.0) > SHORT;
+            for (&id, a) in self.roster.fleet.0.iter_mut().filter(|(_, a)| short && a.linked) {
+                a.linked = !a.out.is_empty();
+                if !a.linked {
+                    out.free_links(id);
+                }
+            }
         }
         let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
         order.sort();
@@ -672,6 +684,7 @@
         }
         a.pushed.retain(|(t, _)| *t + self.thaw.span >= now);
         a.pushed.push_back((now, work));
+        a.linked = true;
         let leg = Leg(h.legs.len() as u8);
         let mute = (self.jury.on_trial(build) && self.thaw.young(&a.line, now)) || a.barred();
         a.out.insert((id, leg), Out { sent: now, work, product: txn.product, build, mute });
@@ -745,6 +758,7 @@
             if leg.0 > 0 && matches!(ending, Ending::Served | Ending::Failed) {
                 self.demand.again.add(now, self.stock.few, f64::from(u8::from(served)), 1.0);
             }
+            self.demand.shut.add(now, USUAL, f64::from(u8::from(ending == Ending::Unconnected)), 1.0);
             a.record.ended(now, RECENT, ending, o.sent);
             if served {
                 if !blurred {
--- a/src/state.rs
+++ b/src/state.rs
@@ -102,6 +102,8 @@
     pub(crate) pushed: VecDeque<(Duration, f64)>,
     /// What part of the agent's txns would go there.
     pub(crate) part: f64,
+    /// Whether a connection there may be open.
+    pub(crate) linked: bool,
 }
 
 impl Appliance {
@@ -135,8 +137,8 @@
         for line in lines {
             missing.remove(&line.appliance);
             let fresh = || {
-                let (record, out, pushed, part) = Default::default();
-                Appliance { line, record, out, pushed, part }
+                let (record, out, pushed, part, linked) = Default::default();
+                Appliance { line, record, out, pushed, part, linked }
             };
             let a = self.0.entry(line.appliance).or_insert_with(fresh);
             if a.line.started != line.started || a.line.build != line.build {
@@ -240,6 +242,8 @@
     pub(crate) borne: Ratio,
     /// Submissions served of late.
     pub(crate) lately: Fading,
+    /// Submissions that found no connection, and all that ended.
+    pub(crate) shut: Ratio,
     /// Submissions turned away unseen, and all that ended.
     pub(crate) full: Ratio,
     /// Answers that came after the SLA time or not at all, and all answers.
