--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 /// Outcomes and times fade by half in this long: a few answers of a small agent's share of an appliance.
 const RECENT: Duration = Duration::from_secs(1);
 /// What is usual fades by half in this long.
-const USUAL: Duration = Duration::from_secs(10);
+pub(crate) const USUAL: Duration = Duration::from_secs(10);
 
 /// Its own pace in the long run, drawn to that of all while it is little known.
 fn usual(a: &Appliance, now: Duration, stock: &Stock) -> f64 {
@@ -42,7 +42,7 @@
 }
 
 impl Roster {
-    fn update(&mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
+    pub(crate) fn update(&mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
         self.fleet.list(listing, lines);
         self.ask_pause = match (listing, self.ask_within) {
             // Guards against a lost subscription, and against a storm of calls on a service that is down.
@@ -63,7 +63,7 @@
     }
 
     /// Whether an appliance was too young to be evidence when this was sent to it.
-    fn young(&self, line: &Line, sent: Duration) -> bool {
+    pub(crate) fn young(&self, line: &Line, sent: Duration) -> bool {
         line.started.is_some_and(|s| sent < s + self.ramp * 9 / 8)
     }
 
@@ -93,7 +93,7 @@
         }
     }
 
-    fn lane(&self, product: Product) -> Product {
+    pub(crate) fn lane(&self, product: Product) -> Product {
         if self.per_product { product } else { Product(0) }
     }
 
@@ -200,7 +200,7 @@
 }
 
 impl Jury {
-    fn on_trial(&self, build: Build) -> bool {
+    pub(crate) fn on_trial(&self, build: Build) -> bool {
         self.own.build.is_some_and(|judged| build >= judged)
     }
 
@@ -232,7 +232,7 @@
     }
 
     /// Learns from an own outcome, and keeps it for the judges.
-    fn note(&mut self, trial: Option<ApplianceId>, product: Product, counts: [u8; 4]) {
+    pub(crate) fn note(&mut self, trial: Option<ApplianceId>, product: Product, counts: [u8; 4]) {
         self.learn(trial, product, counts);
         self.own.noted(trial, product, counts);
     }
@@ -256,7 +256,7 @@
 
     /// Takes a report: only of the build in hand, newer than the last of its sender, about known products
     /// and appliances. What is lost, late, doubled or malformed is left out and changes nothing.
-    fn told(&mut self, now: Duration, from: AgentId, octets: &[u8], fleet: &Fleet) {
+    pub(crate) fn told(&mut self, now: Duration, from: AgentId, octets: &[u8], fleet: &Fleet) {
         let Some((build, version, sums, entries)) = report::read(octets) else { return };
         let last = self.own.heard.get(&from).copied().unwrap_or_default();
         if self.own.build != Some(build)
@@ -276,8 +276,14 @@
         }
     }
 
-    fn begin(&mut self, build: Build, bore: f64) {
-        (self.own.build, self.own.bore) = (Some(build), bore);
+    pub(crate) fn begin(
+        &mut self, now: Duration, build: Build, started: Duration, demand: &Demand, turn: f64,
+    ) {
+        // An agent that restarted amid a trial has no time before it to compare with.
+        let (borne, weight) = demand.borne.read(now, USUAL);
+        self.own.bore = if started + USUAL / 4 < now { borne / weight.max(1e-9) } else { 0.0 };
+        (self.own.build, self.own.turn) = (Some(build), turn);
+        self.own.version.0 = started.as_millis() as u32;
         self.own.report.clear();
         (self.own.sums, self.own.kept, self.own.met) = Default::default();
         let level = self.level();
@@ -370,18 +376,18 @@
 }
 
 pub struct Brain {
-    now: Duration,
-    chance: Pcg64Mcg,
-    roster: Roster,
-    thaw: Thaw,
-    exposure: Exposure,
-    jury: Jury,
-    desk: Desk,
-    demand: Demand,
+    pub(crate) now: Duration,
+    pub(crate) chance: Pcg64Mcg,
+    pub(crate) roster: Roster,
+    pub(crate) thaw: Thaw,
+    pub(crate) exposure: Exposure,
+    pub(crate) jury: Jury,
+    pub(crate) desk: Desk,
+    pub(crate) demand: Demand,
     wake_at: Duration,
     /// Until when the agent itself last stood still.
     woke: Duration,
-    stock: Stock,
+    pub(crate) stock: Stock,
 }
 
 impl Brain {
@@ -725,139 +731,60 @@
         let counts = [1, score, u8::from(timed.is_some()), u8::from(timed.is_some_and(slow))];
         self.jury.note(trial, o.product, counts);
     }
-}
-
-impl Hears for Brain {
-    fn txn(&mut self, id: TxnId, txn: Txn) {
-        let now = self.now;
-        let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
-        let lane = self.exposure.lane(txn.product);
-        self.exposure.windows.taken.entry(lane).or_default().push_back(now);
-        self.stock.heard += 1;
-        let work = self.demand.taken(now, USUAL, &txn).unwrap_or(self.stock.usual_work).max(1e-4);
-        self.jury.own.work([0.0, 0.0, work]);
-        let (legs, risk, luck) = Default::default();
-        self.desk.held.insert(id, Held { txn, terms, work, arrived: now, legs, risk, luck });
-    }
 
-    fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
+    /// Takes in how a submission ended: what it tells of the appliance, of queues, and of the build.
+    pub(crate) fn outcome(
+        &mut self, id: TxnId, leg: Leg, at: ApplianceId, o: &Out, ending: Ending, took: Duration,
+    ) {
         let now = self.now;
-        if let Some(a) = self.roster.fleet.0.get_mut(&at)
-            && let Some(o) = a.out.remove(&(id, leg))
-        {
-            let alive = a.record.heard > o.sent;
-            let build = a.line.build;
-            let served = ending == Ending::Served;
-            let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
-            let blurred = o.sent < self.woke;
-            self.demand.full.add(now, RECENT, f64::from(u8::from(ending == Ending::TurnedAway)), 1.0);
-            if served || ending == Ending::TimedOut {
-                let late = f64::from(u8::from(!served || took > sla));
-                self.demand.late.add(now, self.stock.few, late, 1.0);
-            }
-            if leg.0 > 0 && matches!(ending, Ending::Served | Ending::Failed) {
-                self.demand.again.add(now, self.stock.few, f64::from(u8::from(served)), 1.0);
-            }
-            self.demand.shut.add(now, USUAL, f64::from(u8::from(ending == Ending::Unconnected)), 1.0);
-            a.record.ended(now, RECENT, ending, o.sent);
-            if served {
-                if !blurred {
-                    a.record.served(now, (RECENT, USUAL), took, o.work);
-                }
-                self.demand.served(now, (RECENT, USUAL), o.work);
-                self.jury.own.work([if took <= sla { o.work } else { 0.0 }, 0.0, 0.0]);
-                if now >= a.record.barred_until {
-                    a.record.bar = Duration::ZERO;
-                }
-            }
-            if matches!(ending, Ending::Unconnected | Ending::Broken) {
-                self.stock.next = Duration::ZERO;
-                strike(&mut a.record, now);
-            }
-            // An appliance that fails far more than others of its build is left alone for a while, a build as a
-            // whole never: its failures are the test's evidence.
-            self.stock.heard += 1;
-            if !served {
-                let fails = a.record.fails.share(now, RECENT, 1.0);
-                let (many, sum) = self.roster.fleet.mates(now, RECENT, at, build);
-                if many > 0.0
-                    && fails > sum / many + 0.3
-                    && let Some(a) = self.roster.fleet.0.get_mut(&at)
-                {
-                    strike(&mut a.record, now);
-                }
-            }
+        let Some(a) = self.roster.fleet.0.get_mut(&at) else { return };
+        let alive = a.record.heard > o.sent;
+        let build = a.line.build;
+        let served = ending == Ending::Served;
+        let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
+        let blurred = o.sent < self.woke;
+        self.demand.full.add(now, RECENT, f64::from(u8::from(ending == Ending::TurnedAway)), 1.0);
+        if served || ending == Ending::TimedOut {
+            let late = f64::from(u8::from(!served || took > sla));
+            self.demand.late.add(now, self.stock.few, late, 1.0);
+        }
+        if leg.0 > 0 && matches!(ending, Ending::Served | Ending::Failed) {
+            self.demand.again.add(now, self.stock.few, f64::from(u8::from(served)), 1.0);
+        }
+        self.demand.shut.add(now, USUAL, f64::from(u8::from(ending == Ending::Unconnected)), 1.0);
+        a.record.ended(now, RECENT, ending, o.sent);
+        if served {
             if !blurred {
-                self.judge(at, &o, ending, took, alive);
+                a.record.served(now, (RECENT, USUAL), took, o.work);
+            }
+            self.demand.served(now, (RECENT, USUAL), o.work);
+            self.jury.own.work([if took <= sla { o.work } else { 0.0 }, 0.0, 0.0]);
+            if now >= a.record.barred_until {
+                a.record.bar = Duration::ZERO;
             }
-            let news =
-                self.exposure.news.filter(|n| served && self.exposure.forward_only && o.build == n.build);
-            let mark = self.desk.held.get(&id).and_then(|h| h.txn.mark);
-            self.exposure.windows.answered.extend(mark.filter(|_| news.is_some()));
-        }
-        if closed {
-            self.desk.held.remove(&id);
-        } else if let Some(h) = self.desk.held.get_mut(&id) {
-            h.ended(leg, ending, &self.roster.fleet);
-        }
-    }
-
-    fn stream_begun(&mut self, id: TxnId, _: Leg, _: ApplianceId, _: Duration) {
-        // The client has its answer: nothing is owed any more, and nothing more may be sent.
-        self.desk.held.remove(&id);
-    }
-
-    fn client_left(&mut self, id: TxnId) {
-        self.desk.held.remove(&id);
-    }
-
-    fn roster(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
-        self.roster.update(self.now, listing, lines);
-        self.stock.next = Duration::ZERO;
-    }
-
-    fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration) {
-        let known = self.exposure.news;
-        match known {
-            Some(n) if build < n.build => return,
-            Some(n) if build == n.build => {}
-            _ => self.exposure.windows.answered.clear(),
-        }
-        if course == Course::OnTrial && self.jury.own.build != Some(build) {
-            // An agent that restarted amid a trial has no time before it to compare with.
-            let (borne, weight) = self.demand.borne.read(self.now, USUAL);
-            self.jury.own.turn = self.chance.random();
-            let started = self.exposure.windows.started.unwrap_or_default();
-            self.jury.own.version.0 = started.as_millis() as u32;
-            let known = self.exposure.windows.started.is_some_and(|s| s + USUAL / 4 < self.now);
-            self.jury.begin(build, if known { borne / weight.max(1e-9) } else { 0.0 });
         }
-        let same = known.filter(|n| (n.build, n.stage) == (build, stage));
-        let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
-        self.stock.next = Duration::ZERO;
-        self.exposure.news = Some(News { build, stage, course, cap, since });
-    }
-
-    fn peer(&mut self, from: AgentId, octets: &[u8]) {
-        self.jury.told(self.now, from, octets, &self.roster.fleet);
-        if self.jury.own.build.is_some_and(|b| octets == b.0.to_be_bytes()) {
-            self.jury.own.warned = self.now + self.jury.dwell;
+        if matches!(ending, Ending::Unconnected | Ending::Broken) {
+            self.stock.next = Duration::ZERO;
+            strike(&mut a.record, now);
         }
-    }
-
-    fn vote_answered(&mut self, ending: Ending) {
-        if let Some(vote) = &mut self.jury.own.vote {
-            vote.answer = Some(ending);
+        // An appliance that fails far more than others of its build is left alone for a while, a build as a
+        // whole never: its failures are the test's evidence.
+        self.stock.heard += 1;
+        if !served {
+            let fails = a.record.fails.share(now, RECENT, 1.0);
+            let (many, sum) = self.roster.fleet.mates(now, RECENT, at, build);
+            if many > 0.0
+                && fails > sum / many + 0.3
+                && let Some(a) = self.roster.fleet.0.get_mut(&at)
+            {
+                strike(&mut a.record, now);
+            }
         }
-    }
-
-    fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration) {
-        let sent = self.now.saturating_sub(sent_ago);
-        let Some(a) = self.roster.fleet.0.get(&at) else { return };
-        // The outcome it names was counted as good.
-        if !self.thaw.young(&a.line, sent) {
-            let trial = self.jury.on_trial(a.line.build).then_some(at);
-            self.jury.note(trial, product, [0, 1, 0, 0]);
+        if !blurred {
+            self.judge(at, o, ending, took, alive);
         }
+        let news = self.exposure.news.filter(|n| served && self.exposure.forward_only && o.build == n.build);
+        let mark = self.desk.held.get(&id).and_then(|h| h.txn.mark);
+        self.exposure.windows.answered.extend(mark.filter(|_| news.is_some()));
     }
 }
--- /dev/null
+++ b/src/ear.rs
@@ -0,0 +1,88 @@
+//! What the decision module hears goes into its state here; whatever is to be decided is asked of `brain.rs`.
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::brain::{Brain, USUAL};
+use crate::port::*;
+use crate::state::*;
+
+impl Hears for Brain {
+    fn txn(&mut self, id: TxnId, txn: Txn) {
+        let now = self.now;
+        let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
+        let lane = self.exposure.lane(txn.product);
+        self.exposure.windows.taken.entry(lane).or_default().push_back(now);
+        self.stock.heard += 1;
+        let work = self.demand.taken(now, USUAL, &txn).unwrap_or(self.stock.usual_work).max(1e-4);
+        self.jury.own.work([0.0, 0.0, work]);
+        let (legs, risk, luck) = Default::default();
+        self.desk.held.insert(id, Held { txn, terms, work, arrived: now, legs, risk, luck });
+    }
+
+    fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
+        let out = self.roster.fleet.0.get_mut(&at).and_then(|a| a.out.remove(&(id, leg)));
+        if let Some(out) = out {
+            self.outcome(id, leg, at, &out, ending, took);
+        }
+        if closed {
+            self.desk.held.remove(&id);
+        } else if let Some(h) = self.desk.held.get_mut(&id) {
+            h.ended(leg, ending, &self.roster.fleet);
+        }
+    }
+
+    fn stream_begun(&mut self, id: TxnId, _: Leg, _: ApplianceId, _: Duration) {
+        // The client has its answer: nothing is owed any more, and nothing more may be sent.
+        self.desk.held.remove(&id);
+    }
+
+    fn client_left(&mut self, id: TxnId) {
+        self.desk.held.remove(&id);
+    }
+
+    fn roster(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
+        self.roster.update(self.now, listing, lines);
+        self.stock.next = Duration::ZERO;
+    }
+
+    fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration) {
+        let known = self.exposure.news;
+        match known {
+            Some(n) if build < n.build => return,
+            Some(n) if build == n.build => {}
+            _ => self.exposure.windows.answered.clear(),
+        }
+        if course == Course::OnTrial && self.jury.own.build != Some(build) {
+            let started = self.exposure.windows.started.unwrap_or_default();
+            self.jury.begin(self.now, build, started, &self.demand, self.chance.random());
+        }
+        let same = known.filter(|n| (n.build, n.stage) == (build, stage));
+        let since = same.map_or(self.now.saturating_sub(age), |n| n.since);
+        self.stock.next = Duration::ZERO;
+        self.exposure.news = Some(News { build, stage, course, cap, since });
+    }
+
+    fn peer(&mut self, from: AgentId, octets: &[u8]) {
+        self.jury.told(self.now, from, octets, &self.roster.fleet);
+        if self.jury.own.build.is_some_and(|b| octets == b.0.to_be_bytes()) {
+            self.jury.own.warned = self.now + self.jury.dwell;
+        }
+    }
+
+    fn vote_answered(&mut self, ending: Ending) {
+        if let Some(vote) = &mut self.jury.own.vote {
+            vote.answer = Some(ending);
+        }
+    }
+
+    fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration) {
+        let sent = self.now.saturating_sub(sent_ago);
+        let Some(a) = self.roster.fleet.0.get(&at) else { return };
+        // The outcome it names was counted as good.
+        if !self.thaw.young(&a.line, sent) {
+            let trial = self.jury.on_trial(a.line.build).then_some(at);
+            self.jury.note(trial, product, [0, 1, 0, 0]);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod brain;
+mod ear;
 pub mod parts;
 pub mod port;
 mod report;
