--- a/src/brain.rs
+++ b/src/brain.rs
@@ -509,16 +509,9 @@
             if now < sent + usual {
                 return Some(sent + usual);
             }
-            let spare =
-                0.1 * self.demand.met.read(now, USUAL / 2).1 > 1.0 + self.demand.second.read(now, USUAL / 2);
-            if !self.desk.second_copies {
-                if lost && self.desk.may_call_off && !called_off {
-                    h.legs[usize::from(leg.0)].called_off = true;
-                    out.call_off(id, leg);
-                }
-            } else if spare && let Some(to) = self.choose(id) {
-                self.demand.second.add(now, USUAL / 2, 1.0);
-                self.submit(id, to, out);
+            if lost && self.desk.may_call_off && !called_off {
+                h.legs[usize::from(leg.0)].called_off = true;
+                out.call_off(id, leg);
             }
             return Some(now + self.desk.tick * 8);
         }
