--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,6 @@
 //! All decisions of an agent. Make the parts (`parts.rs`) from what the deployment is told at its start, put
-//! them together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; decisions
-//! go into the writer passed along. The interface is in `port.rs`, what is remembered in `state.rs`, why
-//! things are decided so in `docs/design.md`.
+//! them together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; what is
+//! decided goes into the writer passed along. The interface is in `port.rs`, the reasons in `docs/design.md`.
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -24,13 +23,11 @@
     ((took + stock.usual_pace) / (worked + 1.0)).max(1e-3)
 }
 
-/// Its pace of late, drawn to its usual one. Silence counts too, unless what was sent later has come back.
+/// Its pace of late, drawn to its usual one.
 fn pace(a: &Appliance, now: Duration, stock: &Stock) -> f64 {
     let (took, worked) = a.record.recent.read(now, RECENT);
     let prior = 2.0 * stock.usual_work;
-    let stall = |o: &Out| now.saturating_sub(o.sent).as_secs_f64() / o.work.max(stock.usual_work);
-    let stalled = a.out.values().filter(|o| o.sent > a.record.passed).map(stall).fold(0.0, f64::max) / 3.0;
-    stalled.max((took + prior * usual(a, now, stock)) / (worked + prior))
+    (took + prior * usual(a, now, stock)) / (worked + prior)
 }
 
 /// Leaves an appliance alone for a while, twice as long each time in a row.
@@ -67,16 +64,16 @@
         line.started.is_some_and(|s| sent < s + self.ramp * 9 / 8)
     }
 
-    /// Whether a txn keeps this agent's part of the budget: what it would send a warm appliance of that weight.
-    /// All parts add up to what such an appliance is seen to bear, without knowing the others' traffic. A part
-    /// below one txn is a chance of one, by the luck that a txn draws once a span, against twice (for the two
-    /// choices) what would go there of all `due` work. Guards against hundreds of agents' first txns.
+    /// Whether a txn keeps this agent's part of the budget: what it would send a warm one of its weight,
+    /// so that all parts add up to what such a one bears. A part below one txn is a chance of one: the luck a
+    /// txn draws once a span, against twice (for the two choices) what would go there of all `due` work.
+    /// Guards against the first txns of hundreds of agents.
     fn bears(&self, now: Duration, a: &Appliance, fair_rate: f64, h: &Held, due: f64) -> bool {
         let warmth = self.warmth(a.age(now));
         if warmth >= 1.0 {
             return true;
         }
-        let sent: f64 = a.pushed.iter().filter(|(t, _)| *t + self.span >= now).map(|(_, w)| w).sum();
+        let sent = a.pushed(now, self.span);
         let budget = 0.9 * self.multiple * warmth * fair_rate * self.span.as_secs_f64();
         let first = sent == 0.0 && a.out.is_empty() && h.luck.1 * 2.0 * a.part * due < budget;
         sent + h.work <= budget || first
@@ -93,10 +90,6 @@
         }
     }
 
-    pub(crate) fn lane(&self, product: Product) -> Product {
-        if self.per_product { product } else { Product(0) }
-    }
-
     fn permits(&self, now: Duration, build: Build, h: &Held) -> bool {
         let (product, w) = (h.txn.product, &self.windows);
         let Some((stage, cap)) = self.bound(build) else {
@@ -132,9 +125,8 @@
 /// How many agents gather the others' outcomes: enough that one is mostly there.
 const JUDGES: u32 = 3;
 
-/// Share of what is usually served in time, and of what is asked, that must be missing to convict a build that
-/// slows old and new alike (Y - X stays near 0); half holds the on. Sums fade by half in half of [`USUAL`], so
-/// that short slowdowns pass; after the release it must last longer than those of other causes.
+/// Share of what is usually served in time, and of what is asked, that must be missing to convict a build
+/// that slows old and new alike; half holds the on. Short slowdowns pass; after the release it must last.
 const LOST: f64 = 0.35;
 
 /// Share of submissions without a connection at which connections are short.
@@ -155,8 +147,7 @@
 
 impl Test {
     pub fn new(theta0: f64, tau: f64, alpha: f64) -> Self {
-        let (arms, interval) = (Arms::default(), (f64::MIN, f64::MAX));
-        Test { theta0, tau, alpha, arms, p: 1.0, interval }
+        Test { theta0, tau, alpha, arms: Arms::default(), p: 1.0, interval: (f64::MIN, f64::MAX) }
     }
 
     fn estimate(&self) -> f64 {
@@ -200,10 +191,6 @@
 }
 
 impl Jury {
-    pub(crate) fn on_trial(&self, build: Build) -> bool {
-        self.own.build.is_some_and(|judged| build >= judged)
-    }
-
     /// Those that agents report to: a few, spread by the build, so that hundreds need not hear of each other.
     fn judges(&self, build: Build) -> impl Iterator<Item = AgentId> + use<> {
         let (agents, some) = (self.among.agents.max(1), self.among.agents.clamp(1, JUDGES));
@@ -220,7 +207,6 @@
         ALPHA / (self.products + 2) as f64 / if alone { f64::from(self.among.agents) } else { 1.0 }
     }
 
-    /// Takes outcomes at a product.
     fn learn(&mut self, trial: Option<ApplianceId>, product: Product, [many, bad, timed, late]: [u8; 4]) {
         let (many, bad, last) = (f64::from(many), f64::from(bad), self.products + 1);
         for i in [usize::from(product.0), self.products] {
@@ -297,15 +283,15 @@
         if !matches!(course, Course::OnTrial | Course::Released) || self.own.build != Some(build) {
             return None;
         }
-        let grave = if course == Course::Released { GRAVE } else { 0.0 };
+        let released = course == Course::Released;
+        let (grave, long) = if released { (GRAVE, USUAL * 3 / 2) } else { (0.0, Duration::ZERO) };
         let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
-        let long = if course == Course::Released { USUAL * 3 / 2 } else { Duration::ZERO };
         // Slowness may lie on an agent's own way there: it convicts only for a judge, who hears of many.
         let spoken = self.products + 1 + usize::from(self.judging(build));
         if self.own.tests.iter().take(spoken).any(worse) || now > self.own.well + long {
             return Some(Verdict::Back);
         }
-        if course != Course::OnTrial {
+        if released {
             return None;
         }
         let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0;
@@ -318,16 +304,10 @@
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max()?;
         // The list runs late: a stage whose machines it does not show has not begun to wait.
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
-        // While an agent doubts, it and those it told wait for more outcomes; over failures, which a good
-        // build has not, longer. Guards against agents that wave on what a larger one is about to convict.
+        // In doubt, an agent and those it told wait for more outcomes; over failures, which a good build has
+        // not, longer. Guards against agents that wave on what another is about to convict.
         let failing = self.own.tests.iter().rev().skip(1).any(Test::doubtful) || now < self.own.warned;
-        let waits = if failing {
-            6
-        } else if doubt {
-            3
-        } else {
-            1
-        };
+        let waits = [1, 3, 6][usize::from(doubt).max(2 * usize::from(failing))];
         // The judges go first; others stand in, spread by chance, if none of them speaks.
         let stand_in = if self.judging(build) { 0.0 } else { 1.0 + 2.0 * self.own.turn };
         let due = newest + WAIT * waits + WAIT.mul_f64(stand_in);
@@ -384,30 +364,25 @@
     pub(crate) jury: Jury,
     pub(crate) desk: Desk,
     pub(crate) demand: Demand,
-    wake_at: Duration,
-    /// Until when the agent itself last stood still.
-    woke: Duration,
     pub(crate) stock: Stock,
 }
 
 impl Brain {
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
         let chance = Pcg64Mcg::seed_from_u64(seed);
-        let (now, wake_at, woke, demand) = Default::default();
+        let (now, demand) = Default::default();
         let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, ..Stock::default() };
-        Brain { now, chance, roster, thaw, exposure, jury, desk, demand, wake_at, woke, stock }
+        Brain { now, chance, roster, thaw, exposure, jury, desk, demand, stock }
     }
 
     /// Hears all that came in, then decides.
     pub fn round(&mut self, now: Duration, intake: impl FnOnce(&mut dyn Hears), out: &mut dyn Decisions) {
         let before = std::mem::replace(&mut self.now, now);
-        // The clock may stand anywhere at the start.
         let started = *self.exposure.windows.started.get_or_insert(now);
         let passed = now.saturating_sub(before.max(started));
-        // A wake-up far too late: the agent itself stood still, and what was out meanwhile tells nothing.
-        // Guards against a starved or suspended agent that takes its own pauses for others' troubles.
-        if before >= started && now > self.wake_at + self.desk.tick * 20 {
-            self.woke = now;
+        // A wake-up far too late: the agent itself stood still, and takes none of it for others' troubles.
+        if before >= started && now > self.stock.wake_at + self.desk.tick * 20 {
+            self.stock.woke = now;
         }
         self.exposure.windows.trim(now.saturating_sub(self.exposure.span));
         intake(self);
@@ -418,14 +393,13 @@
         // The walk over the fleet is made once a beat, or once for as many events as there are appliances.
         if now >= self.stock.next || self.stock.heard > self.roster.fleet.0.len() {
             self.take_stock();
-            // Where connections are refused, idle ones go back at once, so that they go round among agents.
-            // Guards against appliances that accept far fewer than usual; costs handshakes.
+            // Where connections are refused, idle ones go back at once, to go round among agents. Guards
+            // against appliances that accept far fewer than usual; costs handshakes.
             let short = self.demand.shut.share(now, USUAL, 2.0) > SHORT;
-            for (&id, a) in self.roster.fleet.0.iter_mut().filter(|(_, a)| short && a.linked) {
-                a.linked = !a.out.is_empty();
-                if !a.linked {
-                    out.free_links(id);
-                }
+            let idle = |a: &Appliance| short && a.linked && a.out.is_empty();
+            for (&id, a) in self.roster.fleet.0.iter_mut().filter(|(_, a)| idle(a)) {
+                a.linked = false;
+                out.free_links(id);
             }
         }
         let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
@@ -438,10 +412,9 @@
             self.jury.report(now, news, &mut self.chance, out);
             self.jury.round(now, &self.roster, news, self.stock.lost, out);
         }
-        // A beat, so that waits end without an event.
         let beat = beat.max(now + self.desk.tick * 2);
-        if self.wake_at <= now || beat < self.wake_at {
-            self.wake_at = beat;
+        if self.stock.wake_at <= now || beat < self.stock.wake_at {
+            self.stock.wake_at = beat;
             out.wake(beat, Ticket(0));
         }
     }
@@ -458,11 +431,11 @@
         let mut paces: Vec<f64> = fleet.ready().map(|(_, a)| pace(a, now, &self.stock)).collect();
         paces.sort_by(f64::total_cmp);
         self.stock.middle_pace = paces.get(paces.len() / 2).copied().unwrap_or(self.stock.usual_pace);
-        // Silence: several submissions wait far longer than usual, and nothing came since the oldest was sent.
-        // Guards against machines that vanished, froze or were cut off, long before the list tells.
+        // Silence: several submissions wait far longer than usual, and nothing came since the oldest. Guards
+        // against machines that vanished, froze or were cut off, long before the list tells.
         let patience = 6.0 * self.stock.middle_pace * self.stock.usual_work;
         for a in self.roster.fleet.0.values_mut() {
-            let silent = a.unheard_since().map(|o| now.saturating_sub(o.max(self.woke)).as_secs_f64());
+            let silent = a.unheard_since().map(|o| now.saturating_sub(o.max(self.stock.woke)).as_secs_f64());
             if silent.is_some_and(|s| s > patience) {
                 strike(&mut a.record, now);
             }
@@ -475,16 +448,10 @@
         self.jury.own.paces.extend(self.roster.fleet.paces(now, USUAL, judged));
         // Lost against what was while the build had little of the fleet: what came before is not its doing.
         // Only with enough traffic to tell, a past, and from a judge: of hundreds one always has a bad day.
-        let own = &mut self.jury.own;
-        let ((timely, usual), (_, asked)) = (own.kept.read(now, USUAL / 2), own.met.read(now, USUAL / 2));
-        let shares = [timely / usual.max(1e-9), timely / asked.max(1e-9)];
-        let enough = asked > 250.0 * ENOUGH * self.stock.usual_work;
-        if self.stock.spread <= LOST {
-            own.before = if enough { shares.map(|s| s.min(1.0)) } else { [1.0; 2] };
-        }
-        let kept = f64::max(shares[0] / own.before[0].max(0.1), shares[1] / own.before[1].max(0.1));
-        let sure = now > self.woke + USUAL / 2 && enough && self.stock.spread > LOST && usual > 0.0;
-        self.stock.lost = if sure && self.jury.judging(judged) { 1.0 - kept } else { 0.0 };
+        let (before, least) = (self.stock.spread <= LOST, 2.5 * ENOUGH * self.stock.usual_work);
+        let kept = self.jury.own.kept(now, USUAL / 2, before, least);
+        let sure = now > self.stock.woke + USUAL / 2 && !before && self.jury.judging(judged);
+        self.stock.lost = kept.filter(|_| sure).map_or(0.0, |kept| 1.0 - kept);
     }
 
     /// Does what is due for a txn, and says when to look at it again without an event.
@@ -503,7 +470,7 @@
             // against lost messages and stuck work as well as dead machines.
             let a = self.roster.fleet.0.get(&to);
             let lost = a.is_none_or(|a| a.record.passed > sent || (a.barred() && a.record.heard < sent));
-            if !more || sla_left.is_zero() || h.out().count() > 1 {
+            if !more || sla_left.is_zero() {
                 return None;
             }
             if now < sent + usual {
@@ -548,8 +515,8 @@
         self.chance.random::<f64>() < strain.max(full)
     }
 
-    /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and what is served.
-    /// A few idle txns beside keep little traffic from looking like a queue.
+    /// What a txn must expect to wait beyond its work, as a share of a time, by what is out and served. A few
+    /// idle txns beside keep little traffic from looking like a queue.
     fn queue(&self, of: Duration) -> f64 {
         // Nothing can have been served yet by an agent that has just come up.
         if self.exposure.windows.started.is_none_or(|s| self.now < s + RECENT) {
@@ -606,20 +573,13 @@
         self.stock.seats = seats;
     }
 
-    /// Whether a txn may go there now.
     fn takes(&self, h: &Held, to: ApplianceId) -> bool {
         let Some(a) = self.roster.fleet.0.get(&to).filter(|a| a.line.mode == Mode::Ready) else {
             return false;
         };
         let parole =
             self.now >= a.record.barred_until && a.out.is_empty() && h.terms.repeat != Repeat::OnceOnly;
-        let in_group = match (h.terms.repeat, h.risk) {
-            (Repeat::Referenced(Group::Zone), Some((_, zone, _))) => a.line.zone == zone,
-            (Repeat::Referenced(Group::Cell), Some((.., cell))) => a.line.cell == cell,
-            _ => true,
-        };
-        in_group
-            && !h.out().any(|(_, l)| l.to == to)
+        h.in_group(&a.line)
             && (!a.barred() || self.stock.panic || parole)
             && self.thaw.bears(self.now, a, self.stock.fair * a.weight(), h, self.stock.due)
             && self.exposure.permits(self.now, a.line.build, h)
@@ -658,8 +618,8 @@
         None
     }
 
-    /// What a txn may expect to wait there, against what is usual there: speed and size are in the odds already.
-    /// Counted twice they would crowd the fastest where agents have little out of their own.
+    /// What a txn may expect to wait there, against the usual there: speed and size are in the odds. Counted
+    /// twice they would crowd the fastest where agents have little out.
     fn cost(&self, a: &Appliance) -> f64 {
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 2.0 };
         let pace = pace(a, self.now, &self.stock) / usual(a, self.now, &self.stock);
@@ -681,29 +641,26 @@
             let lane = self.exposure.lane(txn.product);
             self.exposure.windows.sent.entry((lane, build)).or_default().push_back(now);
         }
-        a.pushed.retain(|(t, _)| *t + self.thaw.span >= now);
-        a.pushed.push_back((now, work));
-        a.linked = true;
         let leg = Leg(h.legs.len() as u8);
-        let mute = (self.jury.on_trial(build) && self.thaw.young(&a.line, now)) || a.barred();
-        a.out.insert((id, leg), Out { sent: now, work, product: txn.product, build, mute });
+        let mute = (self.jury.own.on_trial(build) && self.thaw.young(&a.line, now)) || a.barred();
+        a.sent(now, self.thaw.span, (id, leg), Out { sent: now, work, product: txn.product, build, mute });
         h.legs.push(Submission { to, build, sent: now, ending: None, called_off: false });
         // Until it is proved not to have run, it may have: the group and window of a repeat are fixed by it.
         h.risk = h.risk.or(Some((now, a.line.zone, a.line.cell)));
         out.submit(id, to, Duration::ZERO);
     }
 
-    /// Hands an outcome to the tests. What is no answer, or was turned away, says nothing of the build: machines
-    /// die, freeze or are cut off, queues fill. Slowness counts only without a queue, and while both builds
-    /// answer. Guards against bursts, cold starts, dead machines and shared slowdowns.
+    /// Hands an outcome to the tests. No answer, or one turned away, says nothing of the build: machines die,
+    /// freeze or are cut off, queues fill. Slowness counts only without a queue, while both builds answer.
+    /// Guards against bursts, cold starts, dead machines and shared slowdowns.
     fn judge(&mut self, at: ApplianceId, o: &Out, ending: Ending, took: Duration, alive: bool) {
         let Some(terms) = self.desk.products.get(usize::from(o.product.0)) else { return };
         if o.mute || self.jury.own.tests.is_empty() {
             return;
         }
-        let trial = self.jury.on_trial(o.build).then_some(at);
+        let trial = self.jury.own.on_trial(o.build).then_some(at);
         let arm = usize::from(trial.is_some());
-        // Both arms have answered within the agent's last few txns: only then do they compare, and count for X.
+        // Both arms have answered within the agent's last few txns: only then do they compare.
         self.jury.own.last[arm] = Some(self.now);
         let beside = self.jury.own.last.iter().all(|t| t.is_some_and(|t| t + self.stock.few >= self.now));
         if trial.is_none() && !beside {
@@ -716,8 +673,8 @@
             Ending::TimedOut | Ending::CalledOff if fair && alive && took > terms.sla * 2 => 1,
             _ => return,
         };
-        // A build that needs more work seldom passes twice the SLA time: against the same model's usual time
-        // at earlier builds, for work between the rough hint and the usual, half as much again counts as bad.
+        // Against its model's usual time at earlier builds, for work between the rough hint and the usual,
+        // half as much again counts as late: a build that needs more work seldom passes twice the SLA time.
         let model = self.roster.fleet.0.get(&at).and_then(|a| self.jury.own.paces.get(&a.line.model));
         let timed = model.filter(|_| fair && ending == Ending::Served);
         let slow = |pace: &f64| took.as_secs_f64() > 1.5 * pace * (o.work + self.stock.usual_work) / 2.0;
@@ -730,21 +687,14 @@
         &mut self, id: TxnId, leg: Leg, at: ApplianceId, o: &Out, ending: Ending, took: Duration,
     ) {
         let now = self.now;
+        let Some(build) = self.roster.fleet.0.get(&at).map(|a| a.line.build) else { return };
+        let (many, sum) = self.roster.fleet.mates(now, RECENT, at, build, ending);
         let Some(a) = self.roster.fleet.0.get_mut(&at) else { return };
         let alive = a.record.heard > o.sent;
-        let build = a.line.build;
         let served = ending == Ending::Served;
         let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
-        let blurred = o.sent < self.woke;
-        self.demand.full.add(now, RECENT, f64::from(u8::from(ending == Ending::TurnedAway)), 1.0);
-        if served || ending == Ending::TimedOut {
-            let late = f64::from(u8::from(!served || took > sla));
-            self.demand.late.add(now, self.stock.few, late, 1.0);
-        }
-        if leg.0 > 0 && matches!(ending, Ending::Served | Ending::Failed) {
-            self.demand.again.add(now, self.stock.few, f64::from(u8::from(served)), 1.0);
-        }
-        self.demand.shut.add(now, USUAL, f64::from(u8::from(ending == Ending::Unconnected)), 1.0);
+        let blurred = o.sent < self.stock.woke;
+        self.demand.ended(now, (RECENT, self.stock.few, USUAL), leg, ending, took > sla);
         a.record.ended(now, RECENT, ending, o.sent);
         if served {
             if !blurred {
@@ -756,23 +706,14 @@
                 a.record.bar = Duration::ZERO;
             }
         }
-        if matches!(ending, Ending::Unconnected | Ending::Broken) {
-            self.stock.next = Duration::ZERO;
+        // An appliance that breaks connections or fails far more than others of its build is left alone a
+        // while, a build as a whole never: its failures are the test's evidence.
+        let fails = a.record.fails.share(now, RECENT, 1.0);
+        let worse = !served && many > 0.0 && fails > sum / many + 0.3;
+        if worse || matches!(ending, Ending::Unconnected | Ending::Broken) {
             strike(&mut a.record, now);
         }
-        // An appliance that fails far more than others of its build is left alone for a while, a build as a
-        // whole never: its failures are the test's evidence.
         self.stock.heard += 1;
-        if !served {
-            let fails = a.record.fails.share(now, RECENT, 1.0);
-            let (many, sum) = self.roster.fleet.mates(now, RECENT, at, build);
-            if many > 0.0
-                && fails > sum / many + 0.3
-                && let Some(a) = self.roster.fleet.0.get_mut(&at)
-            {
-                strike(&mut a.record, now);
-            }
-        }
         if !blurred {
             self.judge(at, o, ending, took, alive);
         }
--- a/src/ear.rs
+++ b/src/ear.rs
@@ -81,7 +81,7 @@
         let Some(a) = self.roster.fleet.0.get(&at) else { return };
         // The outcome it names was counted as good.
         if !self.thaw.young(&a.line, sent) {
-            let trial = self.jury.on_trial(a.line.build).then_some(at);
+            let trial = self.jury.own.on_trial(a.line.build).then_some(at);
             self.jury.note(trial, product, [0, 1, 0, 0]);
         }
     }
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -50,6 +50,11 @@
 }
 
 impl Exposure {
+    /// Products are counted together or apart.
+    pub(crate) fn lane(&self, product: Product) -> Product {
+        if self.per_product { product } else { Product(0) }
+    }
+
     pub fn new(
         span: Duration, tick: Duration, free: f64, first_cap: f64, per_product: bool, guarded: u8,
         forward_only: bool,
@@ -84,7 +89,6 @@
 pub struct Desk {
     pub(crate) products: Vec<Terms>,
     pub(crate) max_submissions: usize,
-    pub(crate) second_copies: bool,
     pub(crate) may_call_off: bool,
     pub(crate) longest_advice: Duration,
     pub(crate) tick: Duration,
@@ -93,10 +97,10 @@
 
 impl Desk {
     pub fn new(
-        products: Vec<Terms>, max_submissions: usize, second_copies: bool, may_call_off: bool,
-        longest_advice: Duration, tick: Duration,
+        products: Vec<Terms>, max_submissions: usize, may_call_off: bool, longest_advice: Duration,
+        tick: Duration,
     ) -> Self {
         let held = BTreeMap::new();
-        Desk { products, max_submissions, second_copies, may_call_off, longest_advice, tick, held }
+        Desk { products, max_submissions, may_call_off, longest_advice, tick, held }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,18 @@
         self.line.started.map(|s| now.saturating_sub(s))
     }
 
+    /// Notes what is sent there, and forgets what was before this span.
+    pub(crate) fn sent(&mut self, now: Duration, span: Duration, which: (TxnId, Leg), out: Out) {
+        self.pushed.retain(|(t, _)| *t + span >= now);
+        self.pushed.push_back((now, out.work));
+        self.linked = true;
+        self.out.insert(which, out);
+    }
+
+    pub(crate) fn pushed(&self, now: Duration, span: Duration) -> f64 {
+        self.pushed.iter().filter(|(t, _)| *t + span >= now).map(|(_, w)| w).sum()
+    }
+
     pub(crate) fn barred(&self) -> bool {
         !self.record.bar.is_zero()
     }
@@ -155,9 +167,12 @@
         self.0.iter().filter(|(_, a)| a.line.mode == Mode::Ready).map(|(&id, a)| (id, a))
     }
 
-    /// How many others run this build, and the sum of their shares of failures.
-    pub(crate) fn mates(&self, now: Duration, half: Duration, at: ApplianceId, build: Build) -> (f64, f64) {
-        let mates = self.ready().filter(|(id, a)| *id != at && a.line.build == build);
+    /// How many others run this build, and the sum of their shares of failures; none for what was served.
+    pub(crate) fn mates(
+        &self, now: Duration, half: Duration, at: ApplianceId, build: Build, ending: Ending,
+    ) -> (f64, f64) {
+        let mate = |id, a: &Appliance| id != at && a.line.build == build && ending != Ending::Served;
+        let mates = self.ready().filter(|(id, a)| mate(*id, a));
         mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.record.fails.share(now, half, 1.0)))
     }
 
@@ -219,6 +234,15 @@
 }
 
 impl Held {
+    /// Whether an appliance would drop this as a repeat, if it may have run before.
+    pub(crate) fn in_group(&self, line: &Line) -> bool {
+        match (self.terms.repeat, self.risk) {
+            (Repeat::Referenced(Group::Zone), Some((_, zone, _))) => line.zone == zone,
+            (Repeat::Referenced(Group::Cell), Some((.., cell))) => line.cell == cell,
+            _ => true,
+        }
+    }
+
     /// Notes how a submission ended, and which is now the first that may have run.
     pub(crate) fn ended(&mut self, leg: Leg, ending: Ending, fleet: &Fleet) {
         if let Some(l) = self.legs.get_mut(usize::from(leg.0)) {
@@ -250,7 +274,6 @@
     pub(crate) late: Ratio,
     /// Submissions served, and txns taken, in the long run.
     pub(crate) met: Ratio,
-    pub(crate) second: Fading,
     /// Resends served, and all that ended.
     pub(crate) again: Ratio,
 }
@@ -272,6 +295,23 @@
         txn.hint.map(|h| h.as_secs_f64()).or_else(|| self.work(now, half, |p| p == txn.product))
     }
 
+    /// Notes how a submission ended; the sums fade by these halves: of late, over a few txns, and usual.
+    pub(crate) fn ended(
+        &mut self, now: Duration, halves: (Duration, Duration, Duration), leg: Leg, ending: Ending,
+        late: bool,
+    ) {
+        let ((recent, few, usual), one) = (halves, |yes: bool| f64::from(u8::from(yes)));
+        let served = ending == Ending::Served;
+        self.full.add(now, recent, one(ending == Ending::TurnedAway), 1.0);
+        self.shut.add(now, usual, one(ending == Ending::Unconnected), 1.0);
+        if served || ending == Ending::TimedOut {
+            self.late.add(now, few, one(!served || late), 1.0);
+        }
+        if leg.0 > 0 && matches!(ending, Ending::Served | Ending::Failed) {
+            self.again.add(now, few, one(served), 1.0);
+        }
+    }
+
     pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), work: f64) {
         self.lately.add(now, halves.0, 1.0);
         self.borne.add(now, halves.1, work, 0.0);
@@ -401,6 +441,9 @@
 /// The fleet at a glance, as of the last walk over it.
 #[derive(Default)]
 pub(crate) struct Stock {
+    /// When to wake next, and until when the agent itself last stood still.
+    pub(crate) wake_at: Duration,
+    pub(crate) woke: Duration,
     /// When to walk again, the events heard and the time passed since the last walk.
     pub(crate) next: Duration,
     pub(crate) heard: usize,
@@ -434,6 +477,10 @@
 }
 
 impl Judged {
+    pub(crate) fn on_trial(&self, build: Build) -> bool {
+        self.build.is_some_and(|judged| build >= judged)
+    }
+
     /// The whole part of the sums; the rest stays for the next time.
     pub(crate) fn take_sums(&mut self) -> [u16; 3] {
         self.sums.each_mut().map(|sum| {
@@ -454,7 +501,19 @@
         self.met.add(now, half, timely, asked);
     }
 
-    /// Learns of one's own work, in seconds, if there is a past to compare it with: served in time, usual, asked.
+    /// The better of the two shares over what they were when last `before`, if this much work was asked.
+    pub(crate) fn kept(&mut self, now: Duration, half: Duration, before: bool, least: f64) -> Option<f64> {
+        let ((timely, usual), (_, asked)) = (self.kept.read(now, half), self.met.read(now, half));
+        let shares = [timely / usual.max(1e-9), timely / asked.max(1e-9)];
+        let enough = asked > 100.0 * least;
+        if before {
+            self.before = if enough { shares.map(|share| share.min(1.0)) } else { [1.0; 2] };
+        }
+        let kept = [0, 1].map(|i| shares[i] / self.before[i].max(0.1));
+        (enough && usual > 0.0).then(|| kept[0].max(kept[1]))
+    }
+
+    /// Learns of own work in seconds, served in time, usual and asked, if there is a past to compare with.
     pub(crate) fn work(&mut self, work: [f64; 3]) {
         if self.bore > 0.0 {
             self.sums.iter_mut().zip(work).for_each(|(sum, one)| *sum += 100.0 * one);
