--- a/src/brain.rs
+++ b/src/brain.rs
@@ -272,6 +272,7 @@
         self.own.version.0 = started.as_millis() as u32;
         self.own.report.clear();
         (self.own.sums, self.own.kept, self.own.met) = Default::default();
+        (self.own.before, self.own.stage) = Default::default();
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         // Pace differs by machine far more than failures do, and what it tells apart is larger.
@@ -443,14 +444,13 @@
         self.arrange();
         let few = Duration::from_secs_f64(ENOUGH / 4.0 / self.stock.served.max(1.0));
         self.stock.few = few.clamp(RECENT, USUAL);
-        let Some(judged) = self.jury.own.build else { return };
-        self.stock.spread = self.roster.fleet.spread(judged);
-        self.jury.own.paces.extend(self.roster.fleet.paces(now, USUAL, judged));
-        // Lost against what was while the build had little of the fleet: what came before is not its doing.
-        // Only with enough traffic to tell, a past, and from a judge: of hundreds one always has a bad day.
-        let (before, least) = (self.stock.spread <= LOST, 2.5 * ENOUGH * self.stock.usual_work);
-        let kept = self.jury.own.kept(now, USUAL / 2, before, least);
-        let sure = now > self.stock.woke + USUAL / 2 && !before && self.jury.judging(judged);
+        let Some(News { build, stage, .. }) = self.exposure.news else { return };
+        self.jury.own.paces.extend(self.roster.fleet.paces(now, USUAL, build));
+        // Lost against what was at the end of the stage before: a build that slows all does so in step with its
+        // stages; what came earlier is not its doing. Only with enough traffic to tell, a past, and from a
+        // judge: of hundreds one always has a bad day. It harms where another trouble comes with a stage.
+        let kept = self.jury.own.kept(now, USUAL / 2, stage, 2.5 * ENOUGH * self.stock.usual_work);
+        let sure = now > self.stock.woke + USUAL / 2 && self.jury.judging(build);
         self.stock.lost = kept.filter(|_| sure).map_or(0.0, |kept| 1.0 - kept);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -176,12 +176,6 @@
         mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.record.fails.share(now, half, 1.0)))
     }
 
-    /// The part of the listed weight that carries this build or later ones.
-    pub(crate) fn spread(&self, build: Build) -> f64 {
-        let carries = self.ready().filter(|(_, a)| a.line.build >= build).map(|(_, a)| a.weight());
-        carries.sum::<f64>() / self.weight().max(1e-9)
-    }
-
     /// The usual pace of each model at builds before this one.
     pub(crate) fn paces(&self, now: Duration, half: Duration, build: Build) -> BTreeMap<Model, f64> {
         let mut sums = BTreeMap::<Model, (f64, f64)>::new();
@@ -425,8 +419,9 @@
     /// The same, pooled over those that report: served in time of usual, and of asked.
     pub(crate) kept: Ratio,
     pub(crate) met: Ratio,
-    /// These two shares as they were while the build had little of the fleet.
-    pub(crate) before: [f64; 2],
+    /// These two shares when the last stage ended, and the stage that runs.
+    pub(crate) before: Option<[f64; 2]>,
+    pub(crate) stage: Stage,
     pub(crate) version: Version,
     /// The version of the last report from each sender.
     pub(crate) heard: BTreeMap<AgentId, Version>,
@@ -455,8 +450,6 @@
     pub(crate) panic: bool,
     /// What a unit of listed weight is seen to bear.
     pub(crate) fair: f64,
-    /// What part of the listed weight carries the build in judgement.
-    pub(crate) spread: f64,
     /// Mean listed weight of an appliance.
     pub(crate) weight: f64,
     /// Work in hand, and to come in the span that the rule on cold appliances looks at.
@@ -501,16 +494,16 @@
         self.met.add(now, half, timely, asked);
     }
 
-    /// The better of the two shares over what they were when last `before`, if this much work was asked.
-    pub(crate) fn kept(&mut self, now: Duration, half: Duration, before: bool, least: f64) -> Option<f64> {
+    /// The better of the two shares over what they were when the last stage ended, if this much was asked.
+    pub(crate) fn kept(&mut self, now: Duration, half: Duration, stage: Stage, least: f64) -> Option<f64> {
         let ((timely, usual), (_, asked)) = (self.kept.read(now, half), self.met.read(now, half));
-        let shares = [timely / usual.max(1e-9), timely / asked.max(1e-9)];
-        let enough = asked > 100.0 * least;
-        if before {
-            self.before = if enough { shares.map(|share| share.min(1.0)) } else { [1.0; 2] };
+        let shares = [timely / usual.max(1e-9), timely / asked.max(1e-9)].map(|share| share.min(1.0));
+        let enough = asked > 100.0 * least && usual > 0.0;
+        if std::mem::replace(&mut self.stage, stage) != stage {
+            self.before = enough.then_some(shares);
         }
-        let kept = [0, 1].map(|i| shares[i] / self.before[i].max(0.1));
-        (enough && usual > 0.0).then(|| kept[0].max(kept[1]))
+        let before = self.before.filter(|_| enough)?;
+        Some(f64::max(shares[0] / before[0].max(0.1), shares[1] / before[1].max(0.1)))
     }
 
     /// Learns of own work in seconds, served in time, usual and asked, if there is a past to compare with.
