--- a/src/brain.rs
+++ b/src/brain.rs
@@ -232,7 +232,7 @@
         }
         self.own.report_at = now + self.dwell.mul_f64(chance.random_range(0.5..0.8));
         let sums = self.own.take_sums();
-        self.own.pool(now, USUAL / 2, sums);
+        self.own.pool(now, USUAL / 4, sums);
         self.own.version.1 += 1;
         let octets = report::write(news.build, self.own.version, sums, &mut self.own.report);
         for judge in self.judges(news.build).filter(|judge| self.among.may_tell && *judge != self.among.me) {
@@ -253,7 +253,7 @@
             return;
         }
         self.own.heard.insert(from, version);
-        self.own.pool(now, USUAL / 2, sums);
+        self.own.pool(now, USUAL / 4, sums);
         for (trial, product, counts) in entries {
             let at = |id| fleet.0.get(&id).is_some_and(|a: &Appliance| a.line.build == build);
             if trial.is_none_or(at) && usize::from(product.0) < self.products {
@@ -446,12 +446,11 @@
         self.stock.few = few.clamp(RECENT, USUAL);
         let Some(News { build, stage, .. }) = self.exposure.news else { return };
         self.jury.own.paces.extend(self.roster.fleet.paces(now, USUAL, build));
-        // Lost against what was at the end of the stage before: a build that slows all does so in step with its
-        // stages; what came earlier is not its doing. Only with enough traffic to tell, a past, and from a
-        // judge: of hundreds one always has a bad day. It harms where another trouble comes with a stage.
-        let kept = self.jury.own.kept(now, USUAL / 2, stage, 2.5 * ENOUGH * self.stock.usual_work);
-        let sure = now > self.stock.woke + USUAL / 2 && self.jury.judging(build);
-        self.stock.lost = kept.filter(|_| sure).map_or(0.0, |kept| 1.0 - kept);
+        // Lost against what was at the end of the stage before: a build that slows all does so in step with
+        // its stages; what came earlier is not its doing. Only with enough traffic to tell, a past, and from
+        // a judge: of hundreds one always has a bad day. It harms where another trouble comes with a stage.
+        let kept = self.jury.own.kept(now, USUAL / 4, stage, 1.25 * ENOUGH * self.stock.usual_work);
+        self.stock.lost = kept.filter(|_| self.jury.judging(build)).map_or(0.0, |kept| 1.0 - kept);
     }
 
     /// Does what is due for a txn, and says when to look at it again without an event.
