--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Plays every scenario in `tests/scenarios`. A line is one step:
+//! Plays every scenario in `tests/scenarios`. A line holds steps, parted by `;`:
 //!
 //!     set KEY VALUE                        before the first round, changes what a part is made with
 //!     product KIND SLA [GROUP REMEMBERED]  KIND is inquiry, referenced or once; times in ms
@@ -7,6 +7,7 @@
 //!     ended ID/LEG APPLIANCE ENDING TOOK [closed] | stage BUILD STAGE COURSE CAP     | voted ENDING
 //!     burst MANY PRODUCT                   so many txns in one round
 //!     wrong APPLIANCE PRODUCT AGO          an answer sent so long ago was found wrong
+//!     report FROM BUILD SERIAL T/U/A [ID:PRODUCT:MANY:BAD ..]  a peer's report: work in time, usual, asked, counts
 //!     restart                                       the agent dies and comes back
 //!     flow MS PRODUCT SHARES               until then a txn every 10 ms, answered after 50 ms; of SHARES, as
 //!                                          BUILD=N or @ID=N, every Nth fails
@@ -55,7 +56,9 @@
     }
     fn wake(&mut self, _: Duration, _: Ticket) {}
     fn probe(&mut self, _: ApplianceId) {}
-    fn free_links(&mut self, _: ApplianceId) {}
+    fn free_links(&mut self, at: ApplianceId) {
+        self.put(format!("free-links {}", at.0));
+    }
     fn tell(&mut self, _: Option<AgentId>, _: &[u8]) {
         self.put("tell".into());
     }
@@ -235,6 +238,19 @@
                 let (at, product) = (at.parse().expect("an id"), product.parse().expect("a product"));
                 self.round(|ear| ear.wrong_answer(ApplianceId(at), Product(product), ms(ago)));
             }
+            ["report", from, build, serial, sums, entries @ ..] => {
+                let num = |text: &str| text.parse::<u32>().expect("a number");
+                let mut octets = (num(build) as u16).to_be_bytes().to_vec();
+                octets.extend([0, 0, 0, 1].into_iter().chain(num(serial).to_be_bytes()));
+                octets.extend(sums.split('/').flat_map(|sum| (num(sum) as u16).to_be_bytes()));
+                for entry in entries {
+                    let of: Vec<u32> =
+                        entry.split(':').map(|n| if n == "-" { u32::MAX } else { num(n) }).collect();
+                    octets.extend(of[0].to_be_bytes().into_iter().chain(of[1..].iter().map(|n| *n as u8)));
+                    octets.extend([0, 0]);
+                }
+                self.round(|ear| ear.peer(AgentId(num(from)), &octets));
+            }
             ["restart"] => self.brain = None,
             ["flow", until, product, fails @ ..] => {
                 let pair = |f: &&str| f.split_once('=').map(|(b, n)| (b.to_string(), n.parse().expect("N")));
@@ -304,11 +320,12 @@
         flowing: 0,
     };
     for (i, line) in text.lines().enumerate() {
-        let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
-        if words.is_empty() {
-            continue;
-        }
         println!("{}:{}: {line}", path.display(), i + 1);
-        play.step(&words);
+        for step in line.split('#').next().unwrap_or("").split(';') {
+            let words: Vec<&str> = step.split_whitespace().collect();
+            if !words.is_empty() {
+                play.step(&words);
+            }
+        }
     }
 }
