--- a/src/brain.rs
+++ b/src/brain.rs
@@ -116,7 +116,7 @@
 /// After the release, going back costs some time without service: not for less than this.
 const GRAVE: f64 = 0.05;
 /// Level of the test, before it is divided among the tests.
-const ALPHA: f64 = 0.2;
+const ALPHA: f64 = 0.05;
 /// From the newest trial appliance's start to the on: the design's 3 s, and some for a late clock.
 const WAIT: Duration = Duration::from_millis(3500);
 /// Trial outcomes without which a test does not speak.
