--- a/src/brain.rs
+++ b/src/brain.rs
@@ -641,8 +641,13 @@
             self.exposure.windows.sent.entry((lane, build)).or_default().push_back(now);
         }
         let leg = Leg(h.legs.len() as u8);
-        let mute = (self.jury.own.on_trial(build) && self.thaw.young(&a.line, now)) || a.barred();
-        a.sent(now, self.thaw.span, (id, leg), Out { sent: now, work, product: txn.product, build, mute });
+        let young = self.jury.own.on_trial(build) && self.thaw.young(&a.line, now);
+        a.sent(
+            now,
+            self.thaw.span,
+            (id, leg),
+            Out { sent: now, work, product: txn.product, build, young, mute: a.barred() },
+        );
         h.legs.push(Submission { to, build, sent: now, ending: None, called_off: false });
         // Until it is proved not to have run, it may have: the group and window of a repeat are fixed by it.
         h.risk = h.risk.or(Some((now, a.line.zone, a.line.cell)));
@@ -665,7 +670,8 @@
         if trial.is_none() && !beside {
             return;
         }
-        let fair = beside && self.queue(terms.sla) < QUEUE;
+        // A cold appliance is slow, but fails no more than a warm one.
+        let fair = beside && !o.young && self.queue(terms.sla) < QUEUE;
         let score = match ending {
             Ending::Failed => 1,
             Ending::Served => u8::from(fair && took > terms.sla * 2),
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,7 +56,8 @@
     pub(crate) work: f64,
     pub(crate) product: Product,
     pub(crate) build: Build,
-    /// Not to be taken as evidence.
+    /// Slow as it may be cold, and not to be taken as evidence at all.
+    pub(crate) young: bool,
     pub(crate) mute: bool,
 }
 
