The part at a cold appliance goes by its model's pace, at three quarters of the multiple

Cause: listed sizes leave out speed; on the way back with a full fleet what the mean model bears pushed a slow one over (3.7 times at 2.5 allowed). Also guards against a fair rate that a retry storm raised.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,7 +74,7 @@
             return true;
         }
         let sent = a.pushed(now, self.span);
-        let budget = 0.9 * self.multiple * warmth * fair_rate * self.span.as_secs_f64();
+        let budget = 0.75 * self.multiple * warmth * fair_rate * self.span.as_secs_f64();
         let first = sent == 0.0 && a.out.is_empty() && h.luck.1 * 2.0 * a.part * due < budget;
         sent + h.work <= budget || first
     }
@@ -217,7 +217,6 @@
         }
     }
 
-    /// Learns from an own outcome, and keeps it for the judges.
     pub(crate) fn note(&mut self, trial: Option<ApplianceId>, product: Product, counts: [u8; 4]) {
         self.learn(trial, product, counts);
         self.own.noted(trial, product, counts);
@@ -376,7 +375,6 @@
         Brain { now, chance, roster, thaw, exposure, jury, desk, demand, stock }
     }
 
-    /// Hears all that came in, then decides.
     pub fn round(&mut self, now: Duration, intake: impl FnOnce(&mut dyn Hears), out: &mut dyn Decisions) {
         let before = std::mem::replace(&mut self.now, now);
         let started = *self.exposure.windows.started.get_or_insert(now);
@@ -578,9 +576,11 @@
         };
         let parole =
             self.now >= a.record.barred_until && a.out.is_empty() && h.terms.repeat != Repeat::OnceOnly;
+        // Listed sizes leave out how fast a model is; what the mean bears can push a slow one over.
+        let fair = self.stock.fair * a.weight() * self.jury.own.speed(a.line.model);
         h.in_group(&a.line)
             && (!a.barred() || self.stock.panic || parole)
-            && self.thaw.bears(self.now, a, self.stock.fair * a.weight(), h, self.stock.due)
+            && self.thaw.bears(self.now, a, fair, h, self.stock.due)
             && self.exposure.permits(self.now, a.line.build, h)
     }
 
@@ -626,7 +626,6 @@
         across * (1.0 + out) * pace / (1.0 - 0.9 * a.record.fails.share(self.now, RECENT, 1.0))
     }
 
-    /// The one place that every submission passes.
     fn submit(&mut self, id: TxnId, to: ApplianceId, out: &mut dyn Decisions) {
         let now = self.now;
         let (Some(h), Some(a)) = (self.desk.held.get_mut(&id), self.roster.fleet.0.get_mut(&to)) else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -475,6 +475,12 @@
         self.build.is_some_and(|judged| build >= judged)
     }
 
+    /// A model's speed over that of the mean model, 1 at most.
+    pub(crate) fn speed(&self, model: Model) -> f64 {
+        let mean = self.paces.values().sum::<f64>() / self.paces.len().max(1) as f64;
+        self.paces.get(&model).map_or(1.0, |pace| (mean / pace).min(1.0))
+    }
+
     /// The whole part of the sums; the rest stays for the next time.
     pub(crate) fn take_sums(&mut self) -> [u16; 3] {
         self.sums.each_mut().map(|sum| {
