--- a/src/brain.rs
+++ b/src/brain.rs
@@ -122,7 +122,7 @@
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
 
-/// How many agents gather the others' outcomes: enough that one is mostly there.
+/// How many agents gather the others' outcomes.
 const JUDGES: u32 = 3;
 
 /// Share of what is usually served in time, and of what is asked, that must be missing to convict a build
@@ -224,13 +224,14 @@
 
     /// Passes counts of outcomes on to the judges, with what work was served in time since, would usually be
     /// and was asked: at most a short message a dwell, and none without an outcome of the trial's.
-    fn report(&mut self, now: Duration, news: News, chance: &mut Pcg64Mcg, out: &mut dyn Decisions) {
+    fn report(&mut self, now: Duration, woke: Duration, news: News, turn: f64, out: &mut dyn Decisions) {
         let heard = self.own.report.keys().any(|(trial, _)| trial.is_some());
         if !heard || now < self.own.report_at || self.own.build != Some(news.build) {
             return;
         }
-        self.own.report_at = now + self.dwell.mul_f64(chance.random_range(0.5..0.8));
-        let sums = self.own.take_sums();
+        self.own.report_at = now + self.dwell.mul_f64(turn);
+        // What an agent that stood still did not serve in time is its own doing.
+        let sums = self.own.take_sums().map(|sum| if now < woke + USUAL / 4 { 0 } else { sum });
         self.own.pool(now, USUAL / 4, sums);
         self.own.version.1 += 1;
         let octets = report::write(news.build, self.own.version, sums, &mut self.own.report);
@@ -274,7 +275,6 @@
         (self.own.before, self.own.stage) = Default::default();
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
-        // Pace differs by machine far more than failures do, and what it tells apart is larger.
         self.own.tests.push(Test::new(40.0 * THETA0, 6.0 * TAU, level));
     }
 
@@ -408,7 +408,7 @@
             beat = self.attend(id, out).map_or(beat, |next| beat.min(next));
         }
         if let Some(news) = self.exposure.news {
-            self.jury.report(now, news, &mut self.chance, out);
+            self.jury.report(now, self.stock.woke, news, self.chance.random_range(0.5..0.8), out);
             self.jury.round(now, &self.roster, news, self.stock.lost, out);
         }
         let beat = beat.max(now + self.desk.tick * 2);
