A wrong answer before any build is judged is no panic; no fleet walk for what was served

The walk over a build's other appliances is made only for what was not served, and a filter that nobody used is gone.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -218,8 +218,10 @@
     }
 
     pub(crate) fn note(&mut self, trial: Option<ApplianceId>, product: Product, counts: [u8; 4]) {
-        self.learn(trial, product, counts);
-        self.own.noted(trial, product, counts);
+        if !self.own.tests.is_empty() {
+            self.learn(trial, product, counts);
+            self.own.noted(trial, product, counts);
+        }
     }
 
     /// Passes counts of outcomes on to the judges, with what work was served in time since, would usually be
@@ -271,8 +273,7 @@
         (self.own.build, self.own.turn) = (Some(build), turn);
         self.own.version.0 = started.as_millis() as u32;
         self.own.report.clear();
-        (self.own.sums, self.own.kept, self.own.met) = Default::default();
-        (self.own.before, self.own.stage) = Default::default();
+        (self.own.sums, self.own.kept, self.own.met, self.own.before, self.own.stage) = Default::default();
         let level = self.level();
         self.own.tests = (0..=self.products).map(|_| Test::new(THETA0, TAU, level)).collect();
         self.own.tests.push(Test::new(40.0 * THETA0, 6.0 * TAU, level));
@@ -369,8 +370,7 @@
 
 impl Brain {
     pub fn new(seed: u64, roster: Roster, thaw: Thaw, exposure: Exposure, jury: Jury, desk: Desk) -> Self {
-        let chance = Pcg64Mcg::seed_from_u64(seed);
-        let (now, demand) = Default::default();
+        let (chance, now, demand) = (Pcg64Mcg::seed_from_u64(seed), Duration::ZERO, Demand::default());
         let stock = Stock { usual_pace: 1.0, middle_pace: 1.0, usual_work: 1e-3, ..Stock::default() };
         Brain { now, chance, roster, thaw, exposure, jury, desk, demand, stock }
     }
@@ -692,10 +692,10 @@
     ) {
         let now = self.now;
         let Some(build) = self.roster.fleet.0.get(&at).map(|a| a.line.build) else { return };
-        let (many, sum) = self.roster.fleet.mates(now, RECENT, at, build, ending);
+        let served = ending == Ending::Served;
+        let (many, sum) = if served { (0.0, 0.0) } else { self.roster.fleet.mates(now, RECENT, at, build) };
         let Some(a) = self.roster.fleet.0.get_mut(&at) else { return };
         let alive = a.record.heard > o.sent;
-        let served = ending == Ending::Served;
         let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
         let blurred = o.sent < self.stock.woke;
         self.demand.ended(now, (RECENT, self.stock.few, USUAL), leg, ending, took > sla);
--- a/src/state.rs
+++ b/src/state.rs
@@ -168,12 +168,9 @@
         self.0.iter().filter(|(_, a)| a.line.mode == Mode::Ready).map(|(&id, a)| (id, a))
     }
 
-    /// How many others run this build, and the sum of their shares of failures; none for what was served.
-    pub(crate) fn mates(
-        &self, now: Duration, half: Duration, at: ApplianceId, build: Build, ending: Ending,
-    ) -> (f64, f64) {
-        let mate = |id, a: &Appliance| id != at && a.line.build == build && ending != Ending::Served;
-        let mates = self.ready().filter(|(id, a)| mate(*id, a));
+    /// How many others run this build, and the sum of their shares of failures.
+    pub(crate) fn mates(&self, now: Duration, half: Duration, at: ApplianceId, build: Build) -> (f64, f64) {
+        let mates = self.ready().filter(|(id, a)| *id != at && a.line.build == build);
         mates.fold((0.0, 0.0), |(n, s), (_, a)| (n + 1.0, s + a.record.fails.share(now, half, 1.0)))
     }
 
@@ -197,10 +194,9 @@
         self.ready().map(|(_, a)| a.weight()).sum()
     }
 
-    /// Time taken for each unit of hinted work in the long run, over the appliances that the filter takes.
-    pub(crate) fn pace(&self, now: Duration, half: Duration, of: impl Fn(&Appliance) -> bool) -> Option<f64> {
-        let read = |a: &Appliance| a.record.usual.read(now, half);
-        let taken = self.ready().filter(|(_, a)| of(a)).map(|(_, a)| read(a));
+    /// Time taken for each unit of hinted work in the long run.
+    pub(crate) fn pace(&self, now: Duration, half: Duration) -> Option<f64> {
+        let taken = self.ready().map(|(_, a)| a.record.usual.read(now, half));
         let (took, worked) = taken.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         (worked > 0.0).then(|| took / worked)
     }
@@ -528,7 +524,7 @@
     ) {
         let rate = |sum: f64, half: Duration| sum * std::f64::consts::LN_2 / half.as_secs_f64();
         self.weight = fleet.weight() / fleet.ready().count().max(1) as f64;
-        self.usual_pace = fleet.pace(now, halves.1, |_| true).unwrap_or(1.0);
+        self.usual_pace = fleet.pace(now, halves.1).unwrap_or(1.0);
         self.usual_work = demand.work(now, halves.1, |_| true).unwrap_or(1e-3).max(1e-4);
         self.served = rate(demand.lately.read(now, halves.0), halves.0);
         self.asked = rate(demand.met.read(now, halves.1 / 2).1, halves.1 / 2);
