--- /dev/null
+++ b/crates/agent/src/appliances.rs
@@ -0,0 +1,345 @@
+//! Owns the links to appliances, and what goes over them: submissions, probes. One txn a link at a time, so that giving
+//! one up hurts no other. It must never send anything twice, nor say that a submission never ran when its last byte
+//! may have gone out; which appliance serves what is not its to decide.
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::{FutureExt, StreamExt, future};
+use lilacgate::port::*;
+use lilacgate_start::Paths;
+
+use crate::hub::{Clock, Hub, Wording};
+use crate::log::{Count, End, count, say};
+use crate::resp::{self, Resp};
+use crate::ring::{Intake, Ring, connect};
+
+/// An appliance's address, and the links to it that carry nothing now.
+struct Home {
+    at: SocketAddr,
+    idle: Vec<Link>,
+}
+
+struct Link {
+    stream: Async<TcpStream>,
+    intake: Intake<resp::Values>,
+    out: Ring,
+    to: SocketAddr,
+    /// When it last carried something.
+    since: Duration,
+    /// Why it ends, if it ends now.
+    why: End,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+        count(Count::LinksClosed);
+        say!("link to {} ended: {}", self.to, self.why);
+    }
+}
+
+impl Link {
+    fn is_usable(&mut self, now: Duration, idle_for: Duration) -> bool {
+        if now > self.since + idle_for {
+            self.why = End::Idle;
+        } else if !self.intake.is_quiet(&self.stream) {
+            self.why = End::Stale;
+        } else {
+            return true;
+        }
+        false
+    }
+}
+
+/// What an appliance answered.
+struct Answered {
+    ending: Ending,
+    value: Vec<u8>,
+    load: Option<Vec<u8>>,
+}
+
+pub struct Appliances {
+    hub: Rc<Hub>,
+    homes: RefCell<HashMap<ApplianceId, Home>>,
+    out: RefCell<HashMap<(TxnId, Leg), Sender<()>>>,
+    /// The fields of a load report, in the module's order.
+    gauges: Vec<String>,
+    connect_within: Duration,
+    idle_for: Duration,
+    most_links: usize,
+    open: Rc<Cell<usize>>,
+}
+
+impl Appliances {
+    pub fn new(hub: Rc<Hub>, told: &Paths, most_links: usize) -> Result<Rc<Self>, String> {
+        let (homes, out, open) = Default::default();
+        Ok(Rc::new(Appliances {
+            hub,
+            homes,
+            out,
+            gauges: told.names("feedback.names")?.into_iter().map(str::to_owned).collect(),
+            connect_within: told.period("limits.connect-timeout")?,
+            // Sooner than the appliance would: what is written to a link that it closes may have run.
+            idle_for: told.period("limits.conn-idle")? * 9 / 10,
+            most_links,
+            open,
+        }))
+    }
+
+    fn clock(&self) -> Clock {
+        self.hub.clock
+    }
+
+    /// Notes where an appliance listens.
+    pub fn place(&self, id: ApplianceId, at: SocketAddr, mode: Mode) {
+        let mut homes = self.homes.borrow_mut();
+        let home = homes.entry(id).or_insert_with(|| Home { at, idle: Vec::new() });
+        if home.at != at || mode != Mode::Ready {
+            home.at = at;
+            close(&mut home.idle, End::Gone);
+        }
+    }
+
+    pub fn is_known(&self) -> bool {
+        !self.homes.borrow().is_empty()
+    }
+
+    pub fn free_links(&self, id: ApplianceId) {
+        if let Some(home) = self.homes.borrow_mut().get_mut(&id) {
+            close(&mut home.idle, End::GivenUp);
+        }
+    }
+
+    /// Closes what has been idle for long, or was closed by the other side.
+    pub async fn sweep(self: Rc<Self>) {
+        let mut beat = Timer::interval(self.idle_for / 20);
+        while beat.next().await.is_some() {
+            let now = self.clock().now();
+            for home in self.homes.borrow_mut().values_mut() {
+                home.idle.retain_mut(|link| link.is_usable(now, self.idle_for));
+            }
+        }
+    }
+
+    fn idle_link(&self, id: ApplianceId) -> Option<Link> {
+        let now = self.clock().now();
+        let mut homes = self.homes.borrow_mut();
+        let idle = &mut homes.get_mut(&id)?.idle;
+        std::iter::from_fn(|| idle.pop())
+            .find_map(|mut link| link.is_usable(now, self.idle_for).then_some(link))
+    }
+
+    /// Opens a link; the longest idle one elsewhere goes where no more may be open.
+    async fn connect(&self, id: ApplianceId) -> Result<Link, Ending> {
+        let at = self.homes.borrow().get(&id).map(|home| home.at).ok_or(Ending::Unsent)?;
+        if self.open.get() >= self.most_links && !self.close_one() {
+            say!("no link to {at}: all {} are in use", self.most_links);
+            return Err(Ending::Unsent);
+        }
+        self.open.set(self.open.get() + 1);
+        let opening = Opening(Some(self.open.clone()));
+        let stream = connect(at, self.connect_within).await.map_err(|end| {
+            say!("no link to {at}: {end}");
+            Ending::Unconnected
+        })?;
+        count(Count::LinksOpened);
+        Ok(Link {
+            stream,
+            intake: Intake::new(resp::Values::default(), resp::MESSAGE),
+            out: Ring::new(resp::MESSAGE),
+            to: at,
+            since: self.clock().now(),
+            why: End::GivenUp,
+            open: opening.done(),
+        })
+    }
+
+    fn close_one(&self) -> bool {
+        let mut homes = self.homes.borrow_mut();
+        let oldest = homes.values_mut().filter(|home| !home.idle.is_empty()).min_by_key(|h| h.idle[0].since);
+        oldest.map(|home| home.idle.remove(0).why = End::Crowded).is_some()
+    }
+
+    /// Keeps a link for the next txn, if its appliance is still there.
+    fn keep(&self, id: ApplianceId, mut link: Link) {
+        link.since = self.clock().now();
+        match self.homes.borrow_mut().get_mut(&id) {
+            Some(home) if home.at == link.to => home.idle.push(link),
+            _ => link.why = End::Gone,
+        }
+    }
+
+    pub fn submit(
+        self: &Rc<Self>, which: (TxnId, Leg), to: ApplianceId, wording: Wording, began: Duration,
+        until: Duration,
+    ) {
+        let (off, called_off) = async_channel::bounded::<()>(1);
+        self.out.borrow_mut().insert(which, off);
+        let me = self.clone();
+        self.hub.spawn(async move {
+            let written = Cell::new(false);
+            let over = async {
+                me.clock().until(until).await;
+                Err(Ending::TimedOut)
+            };
+            let off = async {
+                called_off.recv().await.ok();
+                Err(Ending::CalledOff)
+            };
+            let work = me.attempt(which, to, wording, until, &written);
+            let ended = work.or(off).or(over).await;
+            me.out.borrow_mut().remove(&which);
+            let (ending, value) = match ended {
+                Ok(answered) => {
+                    me.tell_load(to, answered.load);
+                    (answered.ending, answered.value)
+                }
+                // What was never written whole has never run.
+                Err(Ending::TimedOut | Ending::CalledOff) if !written.get() => (Ending::Unsent, Vec::new()),
+                Err(ending) => (ending, Vec::new()),
+            };
+            let took = me.clock().now().saturating_sub(began);
+            me.hub.ended(which, to, ending, took, value);
+        });
+    }
+
+    pub fn call_off(&self, which: (TxnId, Leg)) {
+        if let Some(off) = self.out.borrow().get(&which) {
+            off.try_send(()).ok();
+        }
+    }
+
+    async fn attempt(
+        &self, which: (TxnId, Leg), to: ApplianceId, wording: Wording, until: Duration, written: &Cell<bool>,
+    ) -> Result<Answered, Ending> {
+        let mut link = match self.idle_link(to) {
+            Some(link) => link,
+            None => {
+                let link = self.connect(to).await?;
+                if !self.hub.may_go(which.0, which.1).await {
+                    self.keep(to, link);
+                    return Err(Ending::Unsent);
+                }
+                link
+            }
+        };
+        let bytes = wording(until.saturating_sub(self.clock().now()));
+        let answer = self.exchange(&mut link, &bytes, written).await?;
+        let (ending, value, load) = match answer {
+            Resp::Array(Some(items)) => {
+                let mut items = items.into_iter();
+                let Some(Resp::Bulk(Some(value))) = items.next() else { return Err(malformed(&mut link)) };
+                let load =
+                    items.nth(1).and_then(|load| if let Resp::Bulk(load) = load { load } else { None });
+                (Ending::Served, value, load)
+            }
+            Resp::Error(line) => {
+                let turned_away = line.split(|&b| b == b' ').next() == Some(b"BUSY");
+                if !turned_away && !line.starts_with(b"ERR") {
+                    say!("{} answers -{}", link.to, String::from_utf8_lossy(&line));
+                }
+                let load = line.rsplit(|&b| b == b' ').next().filter(|word| word.contains(&b'='));
+                let load = load.map(<[u8]>::to_vec);
+                (if turned_away { Ending::TurnedAway } else { Ending::Failed }, Vec::new(), load)
+            }
+            _ => return Err(malformed(&mut link)),
+        };
+        self.keep(to, link);
+        Ok(Answered { ending, value, load })
+    }
+
+    /// Writes a command and reads its answer. Before its last byte is written, nothing has run.
+    async fn exchange(&self, link: &mut Link, bytes: &[u8], written: &Cell<bool>) -> Result<Resp, Ending> {
+        link.out.put(bytes);
+        if let Err(end) = link.out.flush(&link.stream).await {
+            link.why = end;
+            return Err(Ending::Unconnected);
+        }
+        written.set(true);
+        let answer = link.intake.next(&link.stream).await;
+        link.why = match answer {
+            Ok(Some(answer)) => return Ok(answer),
+            Ok(None) => End::Closed,
+            Err(end) => end,
+        };
+        Err(Ending::Broken)
+    }
+
+    /// Asks an appliance for its load.
+    pub fn probe(self: &Rc<Self>, to: ApplianceId) {
+        count(Count::Probes);
+        let me = self.clone();
+        self.hub.spawn(async move {
+            let began = me.clock().now();
+            let ask = async {
+                let mut link = match me.idle_link(to) {
+                    Some(link) => link,
+                    None => me.connect(to).await?,
+                };
+                let ask = resp::command([&b"INFO"[..], b"load"].into_iter());
+                let answer = me.exchange(&mut link, &ask, &Cell::new(false)).await?;
+                me.keep(to, link);
+                match answer {
+                    Resp::Bulk(load) => Ok(load),
+                    _ => Err(Ending::Failed),
+                }
+            };
+            let late = async {
+                Timer::after(me.connect_within).await;
+                Err(Ending::TimedOut)
+            };
+            let answer = future::or(ask, late).await;
+            let took = me.clock().now().saturating_sub(began);
+            let ending = answer.as_ref().map_or_else(|ending| *ending, |_| Ending::Served);
+            me.tell_load(to, answer.ok().flatten());
+            me.hub.tell(move |ear| ear.probed(to, ending, took));
+        });
+    }
+
+    /// Passes a load report on; fields that it lacks are not numbers.
+    fn tell_load(&self, from: ApplianceId, report: Option<Vec<u8>>) {
+        let Some(report) = report.and_then(|report| String::from_utf8(report).ok()) else { return };
+        let field = |name: &String| {
+            let value =
+                report.split(',').find_map(|pair| pair.strip_prefix(name.as_str())?.strip_prefix('='));
+            value.and_then(|value| value.trim().parse().ok()).unwrap_or(f32::NAN)
+        };
+        let gauges: Vec<f32> = self.gauges.iter().map(field).collect();
+        if gauges.iter().any(|gauge| gauge.is_finite()) {
+            self.hub.tell(move |ear| ear.load(from, &gauges));
+        }
+    }
+}
+
+/// Counts a link while it comes up, whatever becomes of it.
+struct Opening(Option<Rc<Cell<usize>>>);
+
+impl Opening {
+    fn done(mut self) -> Rc<Cell<usize>> {
+        self.0.take().unwrap_or_default()
+    }
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        if let Some(open) = &self.0 {
+            open.set(open.get() - 1);
+        }
+    }
+}
+
+fn malformed(link: &mut Link) -> Ending {
+    link.why = End::Malformed;
+    Ending::Broken
+}
+
+fn close(links: &mut Vec<Link>, why: End) {
+    links.iter_mut().for_each(|link| link.why = why);
+    links.clear();
+}
--- /dev/null
+++ b/crates/agent/src/discovery.rs
@@ -0,0 +1,346 @@
+//! Owns the talk with discovery: the list of appliances, once or as a watch on its changes, over HTTP with chunks. It
+//! must never pass on half a message, nor forget the last good list because of a bad one.
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::{FutureExt, StreamExt, pin};
+use lilacgate::port::*;
+use lilacgate_start::Paths;
+
+use crate::appliances::Appliances;
+use crate::hub::Hub;
+use crate::json::{self, Json};
+use crate::log::{Count, End, count, say};
+use crate::ring::{Parse, Ring, connect, items, within};
+
+/// A quiet watch sends an empty line this often.
+const QUIET: Duration = Duration::from_secs(2);
+/// The longest line of a head, and the most lines.
+const HEAD_LINE: usize = 8 << 10;
+const HEAD_LINES: usize = 100;
+
+enum State {
+    /// In the head, so many lines in; the body's form as far as the head has told.
+    Head(usize, Body),
+    /// In the line that gives a chunk's size, or its end.
+    Size,
+    /// So many bytes of a chunk are left.
+    Chunk(u64),
+    /// In the line end after a chunk.
+    ChunkEnd,
+    /// So many bytes of a body of known length are left.
+    Counted(u64),
+    /// A body that lasts as long as its connection.
+    Open,
+    /// Behind the last chunk, and behind the end of the body.
+    Trailer,
+    Over,
+}
+
+#[derive(Clone, Copy)]
+enum Body {
+    Chunked,
+    Counted(u64),
+    Open,
+}
+
+/// One answer of HTTP/1.1, and the values in its body.
+pub struct Answer {
+    state: State,
+    line: Vec<u8>,
+    values: json::Values,
+}
+
+impl Answer {
+    /// With values of at most so many bytes.
+    pub fn new(most: usize) -> Self {
+        Answer { state: State::Head(0, Body::Open), line: vec![], values: json::Values::new(most) }
+    }
+
+    fn line(&mut self) -> Result<(), End> {
+        let line = String::from_utf8(std::mem::take(&mut self.line)).map_err(|_| End::Malformed)?;
+        let line = line.trim_end_matches(['\r', '\n']);
+        self.state = match self.state {
+            State::Head(0, body) => {
+                let mut words = line.split(' ');
+                let fine = words.next().is_some_and(|word| word.starts_with("HTTP/1."));
+                if !fine || words.next() != Some("200") {
+                    return Err(if fine { End::Refused } else { End::Malformed });
+                }
+                State::Head(1, body)
+            }
+            State::Head(_, body) if line.is_empty() => match body {
+                Body::Chunked => State::Size,
+                Body::Counted(0) => State::Over,
+                Body::Counted(many) => State::Counted(many),
+                Body::Open => State::Open,
+            },
+            State::Head(lines, _) if lines >= HEAD_LINES => return Err(End::TooLong),
+            State::Head(lines, body) => {
+                let (name, value) = line.split_once(':').ok_or(End::Malformed)?;
+                let value = value.trim();
+                let body = match name.to_ascii_lowercase().as_str() {
+                    "transfer-encoding" if value.eq_ignore_ascii_case("chunked") => Body::Chunked,
+                    "transfer-encoding" => return Err(End::Malformed),
+                    "content-length" if !matches!(body, Body::Chunked) => {
+                        Body::Counted(value.parse().map_err(|_| End::Malformed)?)
+                    }
+                    _ => body,
+                };
+                State::Head(lines + 1, body)
+            }
+            State::Size => {
+                let size = line.split(';').next().unwrap_or_default().trim();
+                let fine = !size.is_empty() && size.bytes().all(|b| b.is_ascii_hexdigit());
+                match u64::from_str_radix(size, 16) {
+                    Ok(0) => State::Trailer,
+                    Ok(many) if fine => State::Chunk(many),
+                    _ => return Err(End::Malformed),
+                }
+            }
+            State::ChunkEnd if line.is_empty() => State::Size,
+            State::Trailer if line.is_empty() => State::Over,
+            State::Trailer => State::Trailer,
+            _ => return Err(End::Malformed),
+        };
+        Ok(())
+    }
+}
+
+impl Parse for Answer {
+    type Item = Json;
+
+    fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Json>), End> {
+        let mut at = 0;
+        while at < bytes.len() {
+            let rest = &bytes[at..];
+            let left = match &mut self.state {
+                State::Over => return Err(End::Malformed),
+                State::Chunk(left) | State::Counted(left) => left,
+                State::Open => &mut u64::MAX.clone(),
+                _ => {
+                    let many = rest.iter().position(|&b| b == b'\n').map_or(rest.len(), |i| i + 1);
+                    self.line.extend_from_slice(&rest[..many]);
+                    at += many;
+                    if self.line.len() > HEAD_LINE {
+                        return Err(End::TooLong);
+                    }
+                    if self.line.ends_with(b"\n") {
+                        self.line()?;
+                    }
+                    continue;
+                }
+            };
+            let some = usize::try_from(*left).map_or(rest.len(), |left| left.min(rest.len()));
+            let (taken, value) = self.values.take(&rest[..some])?;
+            *left -= taken as u64;
+            at += taken;
+            match self.state {
+                State::Chunk(0) => self.state = State::ChunkEnd,
+                State::Counted(0) => self.state = State::Over,
+                _ => {}
+            }
+            if value.is_some() {
+                return Ok((at, value));
+            }
+        }
+        Ok((at, None))
+    }
+}
+
+pub struct Discovery {
+    hub: Rc<Hub>,
+    appliances: Rc<Appliances>,
+    at: SocketAddr,
+    zones: Vec<String>,
+    models: Vec<String>,
+    connect_within: Duration,
+    /// Whether the module asks for the list; elsewhere it is watched always.
+    asked: bool,
+    /// The largest message.
+    most: usize,
+    version: std::cell::Cell<u64>,
+    /// The number of each appliance by its name, the same at every agent and over its restarts.
+    numbers: RefCell<HashMap<String, ApplianceId>>,
+    wish: (Sender<bool>, Receiver<bool>),
+}
+
+impl Discovery {
+    pub fn new(
+        hub: Rc<Hub>, appliances: Rc<Appliances>, at: SocketAddr, told: &Paths, most: usize,
+    ) -> Result<Rc<Self>, String> {
+        let names = |key| Ok::<_, String>(told.names(key)?.into_iter().map(str::to_owned).collect());
+        let (version, numbers) = Default::default();
+        Ok(Rc::new(Discovery {
+            hub,
+            appliances,
+            at,
+            zones: names("zones")?,
+            models: names("shapes")?,
+            connect_within: told.period("limits.connect-timeout")?,
+            asked: told.word("membership-mode", &[("push", false), ("ask", true)])?,
+            most,
+            version,
+            numbers,
+            wish: async_channel::unbounded(),
+        }))
+    }
+
+    fn number(&self, name: &str) -> ApplianceId {
+        let mut numbers = self.numbers.borrow_mut();
+        if let Some(&number) = numbers.get(name) {
+            return number;
+        }
+        // Peers name appliances to each other: the number is made of the name alone.
+        let mix = |sum: u32, b: u8| (sum ^ u32::from(b)).wrapping_mul(0x0100_0193);
+        let mut number = ApplianceId(name.bytes().fold(0x811c_9dc5, mix));
+        while numbers.values().any(|taken| *taken == number) {
+            number.0 = number.0.wrapping_add(1);
+        }
+        numbers.insert(name.to_owned(), number);
+        number
+    }
+
+    fn entry(&self, entry: &Json) -> Option<(Line, SocketAddr)> {
+        let text = |name: &str| entry.get(name).and_then(Json::text);
+        let place = |names: &[String], name: &str| {
+            let name = json::word(text(name)?);
+            names.iter().position(|n| *n == name).and_then(|i| u8::try_from(i).ok())
+        };
+        let whole = |name| entry.get(name).and_then(Json::whole);
+        let weight = entry.get("weight").and_then(Json::figure).filter(|w| *w >= 0.0)?;
+        let line = Line {
+            appliance: self.number(text("id").filter(|id| !id.is_empty())?),
+            mode: match text("state")? {
+                "ready" => Mode::Ready,
+                "draining" => Mode::Draining,
+                "gone" => Mode::Gone,
+                _ => return None,
+            },
+            model: Model(place(&self.models, "kind")?),
+            weight: weight as f32,
+            started: Some(Duration::from_millis(whole("started_ms")?)).filter(|s| !s.is_zero()),
+            build: Build(u16::try_from(whole("release")?).ok()?),
+            cell: Cell(u16::try_from(whole("cell")?).ok()?),
+            zone: Zone(place(&self.zones, "zone")?),
+        };
+        Some((line, text("addr")?.parse().ok()?))
+    }
+
+    /// Passes a list or its changes on, if all of it can be read.
+    pub fn told(&self, list: &Json, saved: bool) -> Option<()> {
+        let version = list.get("version").and_then(Json::whole)?;
+        let Json::Truth(whole) = *list.get("full")? else { return None };
+        let entries = list.get("servers").and_then(Json::list)?;
+        let entries = entries.iter().map(|entry| self.entry(entry)).collect::<Option<Vec<_>>>()?;
+        if !whole && version < self.version.get() {
+            return None;
+        }
+        self.version.set(version);
+        entries.iter().for_each(|(line, at)| self.appliances.place(line.appliance, *at, line.mode));
+        count(Count::RosterUpdates);
+        let listing = match (saved, whole) {
+            (true, _) => Listing::Saved,
+            (false, true) => Listing::Whole,
+            (false, false) => Listing::Changes,
+        };
+        self.hub.tell(move |ear| ear.roster(listing, &mut entries.iter().map(|(line, _)| *line)));
+        Some(())
+    }
+
+    pub fn watch(&self, on: bool) {
+        self.wish.0.try_send(on).ok();
+    }
+
+    pub fn fetch(self: &Rc<Self>) {
+        let me = self.clone();
+        self.hub.spawn(async move {
+            let end = me.call("/catalog/members".into(), true).await;
+            if end != End::Closed {
+                me.failed(end);
+            }
+        });
+    }
+
+    fn failed(&self, end: End) {
+        say!("discovery {} ended: {end}", self.at);
+        if self.asked {
+            self.hub.tell(|ear| ear.roster(Listing::Failed, &mut std::iter::empty()));
+        }
+    }
+
+    /// Watches the list, where the module does not ask for it by itself, as long as the agent runs.
+    pub async fn run(self: Rc<Self>) {
+        let mut pause = QUIET / 40;
+        let mut on = !self.asked;
+        loop {
+            while !on {
+                on = self.wish.1.recv().await.unwrap_or(false);
+            }
+            let before = self.version.get();
+            let call = self.call(format!("/catalog/members?follow=1&since={before}"), false);
+            let off = async {
+                while self.wish.1.recv().await.unwrap_or(true) {}
+                End::GivenUp
+            };
+            let end = call.or(off).await;
+            self.failed(end);
+            on = !self.asked;
+            pause = if self.version.get() == before { (pause * 2).min(QUIET) } else { QUIET / 40 };
+            if on {
+                Timer::after(pause).await;
+            }
+        }
+    }
+
+    /// One call, up to its end, or to its first message.
+    async fn call(&self, path: String, once: bool) -> End {
+        let stream = match connect(self.at, self.connect_within).await {
+            Ok(stream) => Rc::new(stream),
+            Err(end) => return end,
+        };
+        let mut ask = Ring::new(HEAD_LINE);
+        ask.put(
+            format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.at)
+                .as_bytes(),
+        );
+        if let Err(end) = within(self.connect_within, ask.flush(&stream)).await {
+            return end;
+        }
+        let lists = items(stream, Lines(Answer::new(self.most)), self.most);
+        pin!(lists);
+        loop {
+            let next = async { lists.next().await.unwrap_or(Err(End::Closed)) };
+            match within(QUIET * 3, next).await {
+                Ok(None) => {}
+                Ok(Some(list)) if self.told(&list, false).is_some() => {
+                    if once {
+                        return End::Closed;
+                    }
+                }
+                Ok(Some(_)) => {
+                    // The whole list next time: what was missed here cannot be known.
+                    self.version.set(0);
+                    return End::Malformed;
+                }
+                Err(end) => return end,
+            }
+        }
+    }
+}
+
+/// The same, where whatever comes is an item: a sign of life, if it ends no value.
+struct Lines(Answer);
+
+impl Parse for Lines {
+    type Item = Option<Json>;
+
+    fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Option<Json>>), End> {
+        self.0.take(bytes).map(|(taken, value)| (taken, Some(value)))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/hub.rs
@@ -0,0 +1,293 @@
+//! Owns the decision module: its clock, the queue of all that it is to hear, its rounds, and the way of its decisions
+//! to whoever carries them out. Nothing else may call the module, and no protocol is known here. It must never wait
+//! within a round, nor decide anything itself.
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::future;
+use lilacgate::brain::Brain;
+use lilacgate::port::*;
+
+use crate::appliances::Appliances;
+use crate::discovery::Discovery;
+use crate::log::{Count, count, say};
+use crate::peers::Peers;
+use crate::platform::Platform;
+
+/// Something that the module is to hear.
+type Call = Box<dyn FnOnce(&mut dyn Hears)>;
+
+/// Spans since the zero point of the machines' common clock, long before any start, so that what started before
+/// this agent has its place; they only go forward.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+    before: Duration,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let before = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), before }
+    }
+
+    pub fn now(&self) -> Duration {
+        self.before + self.started.elapsed()
+    }
+
+    /// Waits until then.
+    pub async fn until(&self, then: Duration) {
+        Timer::at(self.started + then.saturating_sub(self.before)).await;
+    }
+}
+
+/// A txn's one final answer.
+pub enum Answer {
+    Settled(Vec<u8>),
+    Declined(Duration),
+    Voided,
+}
+
+/// What a submission says to an appliance, told how long its answer is waited for.
+pub type Wording = Rc<dyn Fn(Duration) -> Vec<u8>>;
+
+/// A txn that is owed its answer, or of whose end the module has not heard yet.
+struct Owed {
+    wording: Wording,
+    /// When the last wait for it ends.
+    until: Duration,
+    legs: u8,
+    answer: Option<Box<dyn FnOnce(Answer)>>,
+}
+
+pub struct Hub {
+    pub clock: Clock,
+    tasks: LocalExecutor<'static>,
+    queue: (Sender<Call>, Receiver<Call>),
+    owed: RefCell<HashMap<TxnId, Owed>>,
+    last: Cell<u32>,
+    /// Room for an answer's way back before the client gives up.
+    slack: Duration,
+}
+
+impl Hub {
+    pub fn new(slack: Duration) -> Rc<Self> {
+        let (owed, last, tasks) = Default::default();
+        Rc::new(Hub { clock: Clock::new(), tasks, queue: async_channel::unbounded(), owed, last, slack })
+    }
+
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.spawn(task).detach();
+    }
+
+    /// Runs all tasks until this one ends.
+    pub async fn run<T>(&self, main: impl Future<Output = T>) -> T {
+        self.tasks.run(main).await
+    }
+
+    /// Puts something in the queue for the next round.
+    pub fn tell(&self, call: impl FnOnce(&mut dyn Hears) + 'static) {
+        count(Count::Calls);
+        // The queue has no bound of its own, and lives as long as the hub: what fills it has bounds.
+        self.queue.0.try_send(Box::new(call)).ok();
+    }
+
+    /// Takes a txn; `answer` is called once, with its final answer, unless the client leaves before.
+    pub fn take(&self, txn: Txn, wording: Wording, answer: impl FnOnce(Answer) + 'static) -> TxnId {
+        count(Count::TxnsTaken);
+        let id = TxnId(self.last.replace(self.last.get().wrapping_add(1)));
+        let until = txn.expiry.saturating_sub(self.slack);
+        self.owed.borrow_mut().insert(id, Owed { wording, until, legs: 0, answer: Some(Box::new(answer)) });
+        self.tell(move |ear| ear.txn(id, txn));
+        id
+    }
+
+    /// Gives the final answer, if it is still owed.
+    fn answer(&self, id: TxnId, answer: Answer) {
+        let owed = self.owed.borrow_mut().get_mut(&id).and_then(|owed| owed.answer.take());
+        if let Some(give) = owed {
+            count(match answer {
+                Answer::Settled(_) => Count::Settled,
+                Answer::Declined(_) => Count::Declined,
+                Answer::Voided => Count::Voided,
+            });
+            give(answer);
+        }
+    }
+
+    fn is_owed(&self, id: TxnId) -> bool {
+        self.owed.borrow().get(&id).is_some_and(|owed| owed.answer.is_some())
+    }
+
+    pub fn client_left(self: &Rc<Self>, id: TxnId) {
+        let owed = self.owed.borrow_mut().get_mut(&id).and_then(|owed| owed.answer.take());
+        if owed.is_some() {
+            count(Count::ClientsLeft);
+            let hub = self.clone();
+            self.tell(move |ear| {
+                hub.owed.borrow_mut().remove(&id);
+                ear.client_left(id);
+            });
+        }
+    }
+
+    /// Whether a submission that has waited for its link may still go: the module says.
+    pub async fn may_go(&self, id: TxnId, leg: Leg) -> bool {
+        let _ = leg;
+        self.is_owed(id)
+    }
+
+    /// A submission has ended; a first answer goes to the client at once and ends the txn.
+    pub fn ended(
+        self: &Rc<Self>, (id, leg): (TxnId, Leg), at: ApplianceId, ending: Ending, took: Duration,
+        value: Vec<u8>,
+    ) {
+        count(match ending {
+            Ending::Served => Count::EndedServed,
+            Ending::Failed => Count::EndedFailed,
+            Ending::TurnedAway => Count::EndedTurnedAway,
+            Ending::TimedOut => Count::EndedTimedOut,
+            Ending::Unconnected => Count::EndedUnconnected,
+            Ending::Broken => Count::EndedBroken,
+            Ending::CalledOff => Count::EndedCalledOff,
+            Ending::Unsent => Count::EndedUnsent,
+        });
+        if ending == Ending::Served {
+            self.answer(id, Answer::Settled(value));
+        }
+        let closed = !self.is_owed(id);
+        let hub = self.clone();
+        self.tell(move |ear| {
+            if closed {
+                hub.owed.borrow_mut().remove(&id);
+            }
+            ear.ended(id, leg, at, ending, took, closed);
+        });
+    }
+}
+
+/// Where decisions go; all of them return at once, and what takes time is a task of its own.
+pub struct Hands {
+    pub hub: Rc<Hub>,
+    pub appliances: Rc<Appliances>,
+    pub discovery: Rc<Discovery>,
+    pub platform: Rc<Platform>,
+    pub peers: Option<Rc<Peers>>,
+    /// The module's own wake-ups that are not due yet.
+    pub wakes: BTreeSet<(Duration, Ticket)>,
+}
+
+impl Hands {
+    /// Hosts the module for as long as the agent runs.
+    pub async fn host(mut self, mut brain: Brain) {
+        let queue = self.hub.queue.1.clone();
+        let clock = self.hub.clock;
+        loop {
+            let next = self.wakes.first().map(|(at, _)| *at);
+            let alarm = async {
+                match next {
+                    Some(at) => clock.until(at).await,
+                    None => future::pending().await,
+                }
+                None
+            };
+            let first = future::or(async { queue.recv().await.ok() }, alarm).await;
+            // What else is ready to be read joins the same round.
+            future::yield_now().await;
+            let now = clock.now();
+            let due: Vec<_> = self.wakes.iter().take_while(|(at, _)| *at <= now).copied().collect();
+            if due.first().is_some_and(|(at, _)| *at + self.hub.slack < now) {
+                count(Count::LateRounds);
+            }
+            count(Count::Rounds);
+            self.wakes.retain(|(at, _)| *at > now);
+            brain.round(
+                now,
+                |ear| {
+                    first.into_iter().for_each(|call: Call| call(ear));
+                    while let Ok(call) = queue.try_recv() {
+                        call(ear);
+                    }
+                    due.iter().for_each(|(_, ticket)| ear.woken(*ticket));
+                },
+                &mut Round { hands: &mut self, now },
+            );
+        }
+    }
+}
+
+/// The writer of one round.
+struct Round<'a> {
+    hands: &'a mut Hands,
+    now: Duration,
+}
+
+impl Decisions for Round<'_> {
+    fn submit(&mut self, id: TxnId, to: ApplianceId, give_up_after: Duration) {
+        count(Count::Submissions);
+        let mut owed = self.hands.hub.owed.borrow_mut();
+        let Some(owed) = owed.get_mut(&id) else {
+            return say!("a submission of txn {}, which has had its answer, stays here", id.0);
+        };
+        let leg = Leg(owed.legs);
+        owed.legs += 1;
+        let until =
+            if give_up_after.is_zero() { owed.until } else { owed.until.min(self.now + give_up_after) };
+        let wording = owed.wording.clone();
+        self.hands.appliances.submit((id, leg), to, wording, self.now, until);
+    }
+
+    fn decline(&mut self, id: TxnId, come_back_in: Duration) {
+        self.hands.hub.answer(id, Answer::Declined(come_back_in));
+        self.hands.hub.owed.borrow_mut().remove(&id);
+    }
+
+    fn void(&mut self, id: TxnId) {
+        self.hands.hub.answer(id, Answer::Voided);
+        self.hands.hub.owed.borrow_mut().remove(&id);
+    }
+
+    fn call_off(&mut self, id: TxnId, leg: Leg) {
+        self.hands.appliances.call_off((id, leg));
+    }
+
+    fn wake(&mut self, at: Duration, ticket: Ticket) {
+        self.hands.wakes.insert((at, ticket));
+    }
+
+    fn probe(&mut self, at: ApplianceId) {
+        self.hands.appliances.probe(at);
+    }
+
+    fn free_links(&mut self, at: ApplianceId) {
+        self.hands.appliances.free_links(at);
+    }
+
+    fn tell(&mut self, peer: Option<AgentId>, octets: &[u8]) {
+        if let Some(peers) = &self.hands.peers {
+            peers.tell(peer, octets);
+        }
+    }
+
+    fn log(&mut self, text: &str) {
+        say!("{text}");
+    }
+
+    fn watch_roster(&mut self, on: bool) {
+        self.hands.discovery.watch(on);
+    }
+
+    fn fetch_roster(&mut self) {
+        self.hands.discovery.fetch();
+    }
+
+    fn vote(&mut self, build: Build, stage: Stage, verdict: Verdict) {
+        self.hands.platform.vote(build, stage, verdict);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/log.rs
@@ -0,0 +1,162 @@
+//! Owns what staff sees: the one macro that writes log lines, at a bounded rate, the codes of how connections end, and
+//! the counters. It must never block, and nothing may be decided by what it holds.
+use std::fmt::Display;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Lines that one place may write in a second; the rest is counted, and the count stands in its next line.
+const LINES: u64 = 20;
+
+/// What a place has written in this second, and left out since its last line.
+pub struct Place {
+    second: AtomicU64,
+    said: AtomicU64,
+    left_out: AtomicU64,
+}
+
+impl Place {
+    pub const fn new() -> Self {
+        Place { second: AtomicU64::new(0), said: AtomicU64::new(0), left_out: AtomicU64::new(0) }
+    }
+
+    /// Whether a line may go out in this second; if so, how many were left out before it.
+    pub fn may_say(&self, second: u64) -> Option<u64> {
+        if self.second.swap(second, Relaxed) != second {
+            self.said.store(0, Relaxed);
+        }
+        if self.said.fetch_add(1, Relaxed) < LINES {
+            Some(self.left_out.swap(0, Relaxed))
+        } else {
+            self.left_out.fetch_add(1, Relaxed);
+            None
+        }
+    }
+
+    pub fn say(&self, line: impl Display) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        match self.may_say(now.as_secs()) {
+            Some(0) => eprintln!("{:.3} {line}", now.as_secs_f64()),
+            Some(left_out) => eprintln!("{:.3} {line} (and {left_out} like it left out)", now.as_secs_f64()),
+            None => {}
+        }
+    }
+}
+
+/// Writes a log line, unless its place has written too many in this second.
+macro_rules! say {
+    ($($what:tt)*) => {{
+        static PLACE: $crate::log::Place = $crate::log::Place::new();
+        PLACE.say(format_args!($($what)*))
+    }};
+}
+pub(crate) use say;
+
+macro_rules! codes {
+    ($($name:ident $code:literal)*) => {
+        /// Why a connection ended. What each code means, and what to do, is in docs/on-call.md.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum End { $($name),* }
+
+        impl Display for End {
+            fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+                f.write_str(match self { $(End::$name => $code),* })
+            }
+        }
+    };
+}
+
+codes! {
+    Closed "closed"
+    Reset "reset"
+    Refused "refused"
+    Unreachable "unreachable"
+    Silent "silent"
+    Malformed "malformed"
+    TooLong "too-long"
+    GivenUp "given-up"
+    Idle "idle"
+    Crowded "crowded"
+    Stale "stale"
+    Gone "gone"
+    NoDescriptor "no-descriptor"
+    Failed "failed"
+}
+
+impl From<io::Error> for End {
+    fn from(fault: io::Error) -> End {
+        match fault.kind() {
+            io::ErrorKind::ConnectionRefused => End::Refused,
+            io::ErrorKind::UnexpectedEof => End::Closed,
+            io::ErrorKind::ConnectionReset
+            | io::ErrorKind::BrokenPipe
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::NotConnected => End::Reset,
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::AddrNotAvailable => End::Unreachable,
+            // EMFILE and ENFILE have no kind of their own.
+            _ if matches!(fault.raw_os_error(), Some(23 | 24)) => End::NoDescriptor,
+            _ => End::Failed,
+        }
+    }
+}
+
+macro_rules! counts {
+    ($($name:ident $text:literal)*) => {
+        /// What is counted since the start.
+        #[derive(Clone, Copy)]
+        pub enum Count { $($name),* }
+
+        const NAMES: &[&str] = &[$($text),*];
+    };
+}
+
+counts! {
+    ClientsIn "clients_accepted"
+    ClientsOut "clients_ended"
+    TxnsTaken "txns_taken"
+    CommandsRefused "commands_refused"
+    Settled "settled"
+    Declined "declined"
+    Voided "voided"
+    ClientsLeft "left_by_client"
+    Submissions "submissions"
+    EndedServed "submissions_served"
+    EndedFailed "submissions_failed"
+    EndedTurnedAway "submissions_turned_away"
+    EndedTimedOut "submissions_timed_out"
+    EndedUnconnected "submissions_unconnected"
+    EndedBroken "submissions_broken"
+    EndedCalledOff "submissions_called_off"
+    EndedUnsent "submissions_unsent"
+    LinksOpened "links_opened"
+    LinksClosed "links_closed"
+    Probes "probes"
+    RosterUpdates "roster_updates"
+    News "news"
+    Votes "votes"
+    PeersOut "datagrams_sent"
+    PeersIn "datagrams_taken"
+    Strangers "datagrams_dropped"
+    Rounds "rounds"
+    Calls "calls_queued"
+    LateRounds "rounds_late"
+}
+
+static COUNTS: [AtomicU64; NAMES.len()] = [const { AtomicU64::new(0) }; NAMES.len()];
+
+pub fn count(what: Count) {
+    add(what, 1);
+}
+
+pub fn add(what: Count, many: u64) {
+    COUNTS[what as usize].fetch_add(many, Relaxed);
+}
+
+/// All counters, on one line.
+pub fn counters() -> String {
+    let one = |(name, count): (&&str, &AtomicU64)| format!(" {name}={}", count.load(Relaxed));
+    NAMES.iter().zip(&COUNTS).map(one).collect()
+}
--- /dev/null
+++ b/crates/agent/src/peers.rs
@@ -0,0 +1,65 @@
+//! Owns the datagrams between agents. It must never send one that is longer than the bound, nor pass on one from a
+//! stranger; what is lost is lost.
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+
+use async_io::Async;
+use lilacgate::port::AgentId;
+
+use crate::hub::Hub;
+use crate::log::{Count, End, count, say};
+
+/// The longest datagram.
+const MOST: usize = 256;
+
+pub struct Peers {
+    hub: Rc<Hub>,
+    socket: Async<UdpSocket>,
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Peers {
+    pub fn new(
+        hub: Rc<Hub>, listen: SocketAddr, peers: Vec<SocketAddr>, all: Option<SocketAddr>,
+    ) -> Result<Rc<Self>, String> {
+        let socket =
+            Async::<UdpSocket>::bind(listen).map_err(|fault| format!("peer_listen {listen}: {fault}"))?;
+        Ok(Rc::new(Peers { hub, socket, peers, all }))
+    }
+
+    /// To one peer, or to all of them.
+    pub fn tell(&self, peer: Option<AgentId>, octets: &[u8]) {
+        let to = match peer {
+            Some(peer) => self.peers.get(peer.0 as usize).copied(),
+            None => self.all,
+        };
+        let (Some(to), true) = (to, octets.len() <= MOST) else {
+            return say!("a datagram of {} octets to {peer:?} stays here", octets.len());
+        };
+        match self.socket.get_ref().send_to(octets, to) {
+            Ok(_) => count(Count::PeersOut),
+            Err(fault) => say!("a datagram to {to} is lost: {}", End::from(fault)),
+        }
+    }
+
+    pub async fn run(self: Rc<Self>) {
+        let mut octets = [0; MOST + 1];
+        loop {
+            match self.socket.recv_from(&mut octets).await {
+                Ok((len, from)) => match self.peers.iter().position(|peer| *peer == from) {
+                    Some(peer) if (1..=MOST).contains(&len) => {
+                        count(Count::PeersIn);
+                        let octets = octets[..len].to_vec();
+                        self.hub.tell(move |ear| ear.peer(AgentId(peer as u32), &octets));
+                    }
+                    _ => {
+                        count(Count::Strangers);
+                        say!("a datagram of {len} octets from {from} is dropped");
+                    }
+                },
+                Err(fault) => say!("a datagram was not read: {}", End::from(fault)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/platform.rs
@@ -0,0 +1,178 @@
+//! Owns the talk with the platform that rolls builds out: its news on one connection, votes on another, as JSON-RPC
+//! lines. Other platforms' protocols will stand beside it, through the same calls of the hub. It must never send a
+//! vote twice by itself, nor report one as not carried out that may have been.
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::{StreamExt, pin};
+use lilacgate::port::*;
+use lilacgate_start::Paths;
+
+use crate::hub::Hub;
+use crate::json::{self, Json};
+use crate::log::{Count, End, count, say};
+use crate::ring::{Intake, Ring, connect, items, within};
+
+/// A line as long as this ends the connection.
+const LINE: usize = 8 << 10;
+/// The platform gives a sign of life this often.
+const PING: Duration = Duration::from_secs(1);
+
+struct Line {
+    stream: Async<TcpStream>,
+    intake: Intake<json::Values>,
+}
+
+pub struct Platform {
+    hub: Rc<Hub>,
+    at: SocketAddr,
+    connect_within: Duration,
+    answer_within: Duration,
+    /// The connection of the last vote.
+    kept: RefCell<Option<Line>>,
+    last: Cell<u64>,
+}
+
+/// News as a call on the module, if all its fields can be read.
+pub fn news(state: &Json) -> Option<impl FnOnce(&mut dyn Hears) + 'static> {
+    let small = |name| state.get(name).and_then(Json::whole);
+    let build = Build(u16::try_from(small("Revision")?).ok()?);
+    let stage = Stage(u8::try_from(small("Wave")?).ok()?);
+    let course = match state.get("State")?.text()? {
+        "Progressing" => Course::OnTrial,
+        "Aborting" => Course::GoingBack,
+        "Healthy" => Course::Released,
+        "Aborted" => Course::Withdrawn,
+        _ => return None,
+    };
+    let cap = state.get("MaxShare")?.figure().filter(|cap| *cap >= 0.0)?;
+    let age = state.get("AgeMs")?.figure().filter(|ms| (0.0..1e15).contains(ms))?;
+    Some(move |ear: &mut dyn Hears| ear.stage(build, stage, course, cap, Duration::from_secs_f64(age / 1e3)))
+}
+
+impl Platform {
+    pub fn new(hub: Rc<Hub>, at: SocketAddr, told: &Paths) -> Result<Rc<Self>, String> {
+        Ok(Rc::new(Platform {
+            hub,
+            at,
+            connect_within: told.period("limits.connect-timeout")?,
+            answer_within: told.period("family-info.call-timeout")?,
+            kept: RefCell::default(),
+            last: Cell::new(0),
+        }))
+    }
+
+    /// Passes news on; what cannot be read changes nothing.
+    pub fn told(&self, state: &Json) -> bool {
+        let Some(news) = news(state) else {
+            say!("platform {} tells what cannot be read", self.at);
+            return false;
+        };
+        count(Count::News);
+        self.hub.tell(news);
+        true
+    }
+
+    fn wording(&self, method: &str, params: &str) -> (u64, Ring) {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let mut ring = Ring::new(LINE);
+        ring.put(format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"{method}\"{params}}}\n").as_bytes());
+        (id, ring)
+    }
+
+    /// Listens for news as long as the agent runs.
+    pub async fn run(self: Rc<Self>) {
+        let mut pause = PING / 20;
+        loop {
+            let heard = Cell::new(false);
+            let end = self.listen(&heard).await.unwrap_or_else(|end| end);
+            say!("platform {} ended: {end}", self.at);
+            pause = if heard.get() { PING / 20 } else { (pause * 2).min(PING) };
+            Timer::after(pause).await;
+        }
+    }
+
+    async fn listen(&self, heard: &Cell<bool>) -> Result<End, End> {
+        let stream = Rc::new(connect(self.at, self.connect_within).await?);
+        let (_, mut ask) = self.wording("listen", "");
+        within(self.connect_within, ask.flush(&stream)).await?;
+        let told = items(stream, json::Values::new(LINE), LINE);
+        pin!(told);
+        loop {
+            let next = async { told.next().await.unwrap_or(Err(End::Closed)) };
+            let message = within(PING * 3, next).await?;
+            heard.set(true);
+            match (message.get("method").and_then(Json::text), message.get("params")) {
+                (Some("ROLLOUT"), Some(state)) => drop(self.told(state)),
+                (Some("ping"), _) => {}
+                _ if message.get("result") == Some(&Json::Truth(true)) => {}
+                _ => say!("platform {} sends what was not asked for", self.at),
+            }
+        }
+    }
+
+    pub fn vote(self: &Rc<Self>, build: Build, stage: Stage, verdict: Verdict) {
+        count(Count::Votes);
+        let me = self.clone();
+        let word = match verdict {
+            Verdict::Withdraw => "abstain",
+            Verdict::On => "promote",
+            Verdict::Hold => "pause",
+            Verdict::Back => "abort",
+        };
+        let params = format!(
+            ",\"params\":{{\"Revision\":{},\"Wave\":{},\"Decision\":{}}}",
+            build.0,
+            stage.0,
+            json::quoted(word)
+        );
+        self.hub.spawn(async move {
+            let written = Cell::new(false);
+            let answer = within(me.answer_within, me.ask(&params, &written)).await;
+            let ending = match &answer {
+                Ok(answer) if answer.get("result").is_some_and(|state| me.told(state)) => Ending::Served,
+                Ok(answer) => match answer.get("error").and_then(|e| e.get("message")).and_then(Json::text) {
+                    Some("limit") => Ending::TurnedAway,
+                    Some("moot") => Ending::Unsent,
+                    Some("error" | "malformed") => Ending::Failed,
+                    // It may have been carried out.
+                    _ => Ending::TimedOut,
+                },
+                Err(_) if !written.get() => Ending::Unconnected,
+                Err(_) => Ending::TimedOut,
+            };
+            if let Err(end) = answer {
+                say!("platform {}: a vote's connection ended: {end}", me.at);
+            }
+            me.hub.tell(move |ear| ear.vote_answered(ending));
+        });
+    }
+
+    /// Asks on the kept connection, if it still stands, or on a new one.
+    async fn ask(&self, params: &str, written: &Cell<bool>) -> Result<Json, End> {
+        let kept = self.kept.take();
+        let kept = kept.and_then(|mut line| line.intake.is_quiet(&line.stream).then_some(line));
+        let mut line = match kept {
+            Some(line) => line,
+            None => Line {
+                stream: connect(self.at, self.connect_within).await?,
+                intake: Intake::new(json::Values::new(LINE), LINE),
+            },
+        };
+        let (id, mut ask) = self.wording("verdict", params);
+        ask.flush(&line.stream).await?;
+        written.set(true);
+        loop {
+            let answer = line.intake.next(&line.stream).await?.ok_or(End::Closed)?;
+            if answer.get("id").and_then(Json::whole) == Some(id) {
+                self.kept.replace(Some(line));
+                return Ok(answer);
+            }
+            say!("platform {} answers what was not asked", self.at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/ring.rs
@@ -0,0 +1,140 @@
+//! Owns the bytes between a socket and a parser: one ring a direction a connection, small at first, growing to a
+//! bound, given back when idle. It knows no protocol, and must never hold more than its bound nor lose a byte.
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::stream::{self, Stream};
+use futures_lite::{FutureExt, pin};
+
+use crate::log::End;
+
+/// What a ring starts with, and what it may keep while nothing is in it.
+const SMALL: usize = 1 << 10;
+
+/// Turns bytes into items, as they come. A fault ends the connection.
+pub trait Parse {
+    type Item;
+    /// Takes bytes from the front, up to the end of one item at most; returns how many it took.
+    fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Self::Item>), End>;
+}
+
+pub struct Ring {
+    bytes: VecDeque<u8>,
+    most: usize,
+}
+
+impl Ring {
+    pub fn new(most: usize) -> Self {
+        Ring { bytes: VecDeque::new(), most }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.bytes.extend(bytes);
+    }
+
+    /// Gives memory back that an idle connection does not need.
+    fn rest(&mut self) {
+        if self.bytes.is_empty() && self.bytes.capacity() > SMALL {
+            self.bytes = VecDeque::new();
+        }
+    }
+
+    /// Reads what is there, as far as there is room; 0 at the end of the stream.
+    fn fill(&mut self, mut from: &TcpStream) -> io::Result<usize> {
+        let had = self.bytes.len();
+        let room = self.bytes.capacity().max(SMALL).min(self.most).saturating_sub(had);
+        let room = if room == 0 { had.min(self.most - had) } else { room };
+        self.bytes.resize(had + room, 0);
+        let tail = &mut self.bytes.make_contiguous()[had..];
+        let got = from.read(tail);
+        self.bytes.truncate(had + *got.as_ref().unwrap_or(&0));
+        got
+    }
+
+    fn drain(&mut self, mut to: &TcpStream) -> io::Result<usize> {
+        let sent = to.write(self.bytes.as_slices().0)?;
+        self.bytes.drain(..sent);
+        Ok(sent)
+    }
+
+    /// Writes all that is in it.
+    pub async fn flush(&mut self, to: &Async<TcpStream>) -> Result<(), End> {
+        while !self.bytes.is_empty() {
+            if to.write_with(|to| self.drain(to)).await.map_err(End::from)? == 0 {
+                return Err(End::Reset);
+            }
+        }
+        self.rest();
+        Ok(())
+    }
+}
+
+/// A connection's incoming side: its ring and the parser that reads from it.
+pub struct Intake<P> {
+    ring: Ring,
+    parser: P,
+}
+
+impl<P: Parse> Intake<P> {
+    pub fn new(parser: P, most: usize) -> Self {
+        Intake { ring: Ring::new(most), parser }
+    }
+
+    /// The next item; nothing at the end of the stream.
+    pub async fn next(&mut self, from: &Async<TcpStream>) -> Result<Option<P::Item>, End> {
+        loop {
+            while !self.ring.is_empty() {
+                let (taken, item) = self.parser.take(self.ring.bytes.as_slices().0)?;
+                self.ring.bytes.drain(..taken);
+                if let Some(item) = item {
+                    return Ok(Some(item));
+                }
+            }
+            self.ring.rest();
+            if from.read_with(|from| self.ring.fill(from)).await.map_err(End::from)? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Whether a quiet connection is still open, with nothing left over on it.
+    pub fn is_quiet(&mut self, from: &Async<TcpStream>) -> bool {
+        let waits = |e: &io::Error| e.kind() == io::ErrorKind::WouldBlock;
+        self.ring.is_empty() && self.ring.fill(from.get_ref()).as_ref().is_err_and(waits)
+    }
+}
+
+/// A connection as a stream of items.
+pub fn items<P: Parse>(
+    from: Rc<Async<TcpStream>>, parser: P, most: usize,
+) -> impl Stream<Item = Result<P::Item, End>> {
+    stream::try_unfold((from, Intake::new(parser, most)), async |(from, mut intake)| {
+        let item = intake.next(&from).await?;
+        Ok(item.map(|item| (item, (from, intake))))
+    })
+}
+
+/// Waits for something no longer than so: a silent peer sends no reset.
+pub async fn within<T>(wait: Duration, work: impl Future<Output = Result<T, End>>) -> Result<T, End> {
+    let late = async {
+        Timer::after(wait).await;
+        Err(End::Silent)
+    };
+    pin!(work);
+    work.or(late).await
+}
+
+pub async fn connect(to: SocketAddr, wait: Duration) -> Result<Async<TcpStream>, End> {
+    let stream = within(wait, async { Async::<TcpStream>::connect(to).await.map_err(End::from) }).await?;
+    stream.get_ref().set_nodelay(true).map_err(End::from)?;
+    Ok(stream)
+}
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts many instances of the decision module on the bench's wire, which share nothing but this loop.
 #![forbid(unsafe_code)]
 
-mod options;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -10,7 +9,7 @@
 use std::time::Duration;
 
 use lilacgate::port::{Ending, Line, Listing, Product, Txn};
-use options::Instance;
+use lilacgate_start::{Instance, Paths};
 use wire::{EVENT, Field, Reply};
 
 /// The largest frame taken on trust; longer ones are read only as their bytes arrive.
@@ -125,7 +124,7 @@
             let place = |e| format!("record {}, UP of instance {on}: {e}", first + i);
             let text = r.slice(9, 1, tail).map_err(place)?;
             let text = std::str::from_utf8(text).map_err(|_| place("options are not UTF-8".into()))?;
-            match options::instance(r.u64(1), text) {
+            match lilacgate_start::instance(r.u64(1), &Paths::from_lines(text)) {
                 Ok(instance) => drop(self.instances.insert(on, instance)),
                 Err(fault) => {
                     reply.on(on).fault(&fault);
--- a/crates/drill/src/options.rs
+++ b/crates/start/src/lib.rs
@@ -1,4 +1,7 @@
-//! Start settings on the wire, taken apart for the module's parts.
+//! Start settings as path=value, taken apart into the module's parts. The bench's adapter reads them as lines, the
+//! agent flattens its start file to the same paths. Nothing here decides: a figure goes to its part as it stands.
+#![forbid(unsafe_code)]
+
 use std::collections::BTreeMap;
 use std::str::FromStr;
 use std::time::Duration;
@@ -7,14 +10,28 @@
 use lilacgate::parts::{Desk, Exposure, Jury, Roster, Thaw};
 use lilacgate::port::*;
 
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+/// What an agent is told at its start, by path.
+#[derive(Default)]
+pub struct Paths(BTreeMap<String, String>);
+
+impl FromIterator<(String, String)> for Paths {
+    fn from_iter<I: IntoIterator<Item = (String, String)>>(pairs: I) -> Self {
+        Paths(pairs.into_iter().collect())
+    }
+}
+
+impl Paths {
+    /// From lines of the form path=value.
+    pub fn from_lines(text: &str) -> Self {
+        let pair = |(path, value): (&str, &str)| (path.to_owned(), value.to_owned());
+        text.lines().filter_map(|line| line.split_once('=')).map(pair).collect()
+    }
 
-impl<'a> Pairs<'a> {
-    fn text(&self, key: &str) -> Result<&'a str, String> {
-        self.0.get(key).copied().ok_or_else(|| format!("settings lack {key}"))
+    pub fn text(&self, key: &str) -> Result<&str, String> {
+        self.0.get(key).map(String::as_str).ok_or_else(|| format!("settings lack {key}"))
     }
 
-    fn num<T: FromStr>(&self, key: &str) -> Result<T, String> {
+    pub fn num<T: FromStr>(&self, key: &str) -> Result<T, String> {
         let text = self.text(key)?;
         text.parse().map_err(|_| format!("{key} is {text:?}, which cannot be read"))
     }
@@ -25,16 +42,21 @@
         if x.is_finite() && x >= 0.0 { Ok(x) } else { Err(format!("{key} is {x}, which is out of range")) }
     }
 
-    fn span(&self, key: &str) -> Result<Duration, String> {
+    pub fn span(&self, key: &str) -> Result<Duration, String> {
         self.num(key).map(Duration::from_micros)
     }
 
     /// A span that something is divided by or repeated after.
-    fn period(&self, key: &str) -> Result<Duration, String> {
+    pub fn period(&self, key: &str) -> Result<Duration, String> {
         let span = self.span(key)?;
         if span.is_zero() { Err(format!("{key} is 0, which is out of range")) } else { Ok(span) }
     }
 
+    /// The names of a list, none if it is empty.
+    pub fn names(&self, key: &str) -> Result<Vec<&str>, String> {
+        Ok(self.text(key)?.split(',').filter(|name| !name.is_empty()).collect())
+    }
+
     fn figures(&self, key: &str) -> Result<Vec<f64>, String> {
         let text = self.text(key)?;
         let figure = |part: &str| part.parse().ok().filter(|x: &f64| x.is_finite() && *x >= 0.0);
@@ -43,28 +65,32 @@
             .collect()
     }
 
-    fn word<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T, String> {
+    pub fn word<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Result<T, String> {
         let text = self.text(key)?;
         let found = words.iter().find(|(w, _)| *w == text).map(|(_, t)| *t);
         found.ok_or_else(|| format!("{key} is {text:?}, which is unknown"))
     }
 
+    /// What may be done again with a txn of the i-th product.
+    pub fn repeat(&self, i: usize) -> Result<Repeat, String> {
+        let key = |field| format!("profiles.{i}.{field}");
+        let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+        Ok(match self.word(&key("repeat"), &[("retryable", 0), ("dedup", 1), ("fragile", 2)])? {
+            0 => Repeat::InquiryLike,
+            1 => Repeat::Referenced(self.word(&key("group"), &groups)?),
+            _ => Repeat::OnceOnly,
+        })
+    }
+
     fn product(&self, i: usize) -> Result<Terms, String> {
         let key = |field| format!("profiles.{i}.{field}");
-        let group = || {
-            let words = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
-            self.word(&key("group"), &words)
-        };
-        let repeat = self.word(&key("repeat"), &[("retryable", 0), ("dedup", 1), ("fragile", 2)])?;
+        let repeat = self.repeat(i)?;
+        let referenced = matches!(repeat, Repeat::Referenced(_));
         Ok(Terms {
-            repeat: match repeat {
-                0 => Repeat::InquiryLike,
-                1 => Repeat::Referenced(group()?),
-                _ => Repeat::OnceOnly,
-            },
+            repeat,
             sla: self.period(&key("aim"))?,
             expiry: self.period(&key("give-up"))?,
-            remembered: if repeat == 1 { self.span(&key("window"))? } else { Duration::ZERO },
+            remembered: if referenced { self.span(&key("window"))? } else { Duration::ZERO },
             revenue: self.figure(&key("worth"))?,
             late_share: self.figure(&key("late-value"))?,
         })
@@ -78,13 +104,12 @@
     pub zones: usize,
 }
 
-/// One instance, made from its options.
-pub fn instance(seed: u64, text: &str) -> Result<Instance, String> {
-    let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
+/// One instance, made from what it is told.
+pub fn instance(seed: u64, pairs: &Paths) -> Result<Instance, String> {
     let count: u8 = pairs.num("profiles.count")?;
     let products = (0..count.into()).map(|i| pairs.product(i)).collect::<Result<Vec<_>, _>>()?;
     let count = products.len();
-    let zones = pairs.text("zones")?.split(',').count();
+    let zones = pairs.names("zones")?.len();
     let tick = pairs.period("tick")?;
     let asks = pairs.word("membership-mode", &[("push", false), ("ask", true)])?;
     let ask_within = if asks { Some(pairs.period("rules.ask-within")?) } else { None };
