Agent: the module says whether a submission may still go; crowd, memory and SIGTERM bounded

A submission that had to wait for its link may have been overtaken by a drain, a lower cap, another build at that id or the txn's end. The link asks through the queue (`Hears::may_go`), the module says (`Brain::stands`), and what may not go ends as unsent.

SIGTERM: 0.4 s more of new connections, then each ends between requests. A lack of own descriptors or ports ends a submission as unsent instead of blaming the appliance.

--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -21,6 +21,7 @@
 /// An appliance's address, and the links to it that carry nothing now.
 struct Home {
     at: SocketAddr,
+    mode: Mode,
     idle: Vec<Link>,
 }
 
@@ -71,6 +72,8 @@
     /// The fields of a load report, in the module's order.
     gauges: Vec<String>,
     connect_within: Duration,
+    /// In which time an answer must be whole, once begun.
+    patience: Duration,
     idle_for: Duration,
     most_links: usize,
     open: Rc<Cell<usize>>,
@@ -85,6 +88,7 @@
             out,
             gauges: told.names("feedback.names")?.into_iter().map(str::to_owned).collect(),
             connect_within: told.period("limits.connect-timeout")?,
+            patience: told.longest_expiry()?,
             // Sooner than the appliance would: what is written to a link that it closes may have run.
             idle_for: told.period("limits.conn-idle")? * 9 / 10,
             most_links,
@@ -99,15 +103,17 @@
     /// Notes where an appliance listens.
     pub fn place(&self, id: ApplianceId, at: SocketAddr, mode: Mode) {
         let mut homes = self.homes.borrow_mut();
-        let home = homes.entry(id).or_insert_with(|| Home { at, idle: Vec::new() });
+        let home = homes.entry(id).or_insert_with(|| Home { at, mode, idle: Vec::new() });
+        home.mode = mode;
         if home.at != at || mode != Mode::Ready {
             home.at = at;
             close(&mut home.idle, End::Gone);
         }
     }
 
-    pub fn is_known(&self) -> bool {
-        !self.homes.borrow().is_empty()
+    /// Whether there is one that takes txns.
+    pub fn is_any_ready(&self) -> bool {
+        self.homes.borrow().values().any(|home| home.mode == Mode::Ready)
     }
 
     pub fn free_links(&self, id: ApplianceId) {
@@ -146,12 +152,13 @@
         let opening = Opening(Some(self.open.clone()));
         let stream = connect(at, self.connect_within).await.map_err(|end| {
             say!("no link to {at}: {end}");
-            Ending::Unconnected
+            // What is short here says nothing of the appliance.
+            if end == End::OwnLimit { Ending::Unsent } else { Ending::Unconnected }
         })?;
         count(Count::LinksOpened);
         Ok(Link {
             stream,
-            intake: Intake::new(resp::Values::default(), resp::MESSAGE),
+            intake: Intake::new(resp::Values::default(), resp::MESSAGE, self.patience),
             out: Ring::new(resp::MESSAGE),
             to: at,
             since: self.clock().now(),
@@ -170,7 +177,7 @@
     fn keep(&self, id: ApplianceId, mut link: Link) {
         link.since = self.clock().now();
         match self.homes.borrow_mut().get_mut(&id) {
-            Some(home) if home.at == link.to => home.idle.push(link),
+            Some(home) if home.at == link.to && home.mode == Mode::Ready => home.idle.push(link),
             _ => link.why = End::Gone,
         }
     }
--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -1,7 +1,8 @@
 //! Owns the clients' connections: their commands in, their answers out, in order, each once and whole. It must never
-//! answer for a txn by itself once the hub has taken it, nor let one client's trouble reach another.
+//! answer for a txn by itself once the hub has taken it, nor let one client's trouble reach another. What is beyond
+//! its bounds (descriptors, memory, txns in hand) is turned away before the module hears of it.
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use futures_lite::{FutureExt, StreamExt, pin};
+use futures_lite::{FutureExt, StreamExt, future, pin};
 use lilacgate::port::*;
 use lilacgate_start::Paths;
 
@@ -18,12 +19,41 @@
 use crate::json;
 use crate::log::{Count, End, count, say};
 use crate::resp;
-use crate::ring::{Ring, items};
+use crate::ring::{Intake, Ring, items, within};
+
+/// After SIGTERM, new connections go on coming for so long; then those that exist end between requests.
+const STILL_COMING: Duration = Duration::from_millis(400);
+/// The agent may not outlast the longest expiry, counted as this at least, by more than the time beside it.
+const LEAST_EXPIRY: Duration = Duration::from_secs(3);
+const LAST: Duration = Duration::from_millis(700);
+
+/// Bytes that clients' txns and answers hold, of all that may be held.
+#[derive(Clone, Default)]
+struct Held(Rc<Cell<usize>>);
+
+/// Counts some of them, as long as it lives.
+struct Share {
+    all: Held,
+    many: usize,
+}
+
+impl Held {
+    fn share(&self, many: usize) -> Share {
+        self.0.set(self.0.get() + many);
+        Share { all: self.clone(), many }
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.all.0.set(self.all.0.get() - self.many);
+    }
+}
 
 /// An answer that is due on a connection.
 enum Due {
     Owed(TxnId),
-    Ready(Vec<u8>),
+    Ready { bytes: Vec<u8>, _held: Share },
 }
 
 /// What one connection still owes, in the order of its commands.
@@ -32,6 +62,11 @@
     /// The number of the first of them.
     first: Cell<u64>,
     bell: (Sender<()>, Receiver<()>),
+    /// Why it ends once nothing is due on it.
+    ending: Cell<Option<End>>,
+    /// When something last came or went.
+    since: Cell<Duration>,
+    held: Held,
 }
 
 impl Counter {
@@ -40,11 +75,27 @@
         self.bell.0.try_send(()).ok();
     }
 
+    fn say(&self, answer: &str) {
+        let bytes = format!("{answer}\r\n").into_bytes();
+        self.put(Due::Ready { bytes, _held: self.held.share(answer.len()) });
+    }
+
+    fn end(&self, why: End) {
+        self.ending.set(self.ending.get().or(Some(why)));
+        self.bell.0.try_send(()).ok();
+    }
+
+    fn is_idle(&self) -> bool {
+        self.due.borrow().is_empty() && self.ending.get().is_none()
+    }
+
+    /// Fills the place of an answer, wherever in the order it stands.
     fn ready(&self, place: u64, bytes: Vec<u8>) {
         let at = place.checked_sub(self.first.get()).and_then(|at| usize::try_from(at).ok());
         let mut due = self.due.borrow_mut();
         if let Some(due) = at.and_then(|at| due.get_mut(at)) {
-            *due = Due::Ready(bytes);
+            let _held = self.held.share(bytes.len());
+            *due = Due::Ready { bytes, _held };
             self.bell.0.try_send(()).ok();
         }
     }
@@ -52,7 +103,7 @@
     fn take(&self) -> Option<Vec<u8>> {
         let mut due = self.due.borrow_mut();
         let ready = due.front_mut().and_then(|due| match due {
-            Due::Ready(bytes) => Some(std::mem::take(bytes)),
+            Due::Ready { bytes, .. } => Some(std::mem::take(bytes)),
             Due::Owed(_) => None,
         })?;
         due.pop_front();
@@ -60,11 +111,14 @@
         Some(ready)
     }
 
-    /// The next answer, once it is ready.
-    async fn next(&self) -> Vec<u8> {
+    /// The next answer, once it is ready, or the end.
+    async fn next(&self) -> Result<Vec<u8>, End> {
         loop {
             if let Some(ready) = self.take() {
-                return ready;
+                return Ok(ready);
+            }
+            if let Some(end) = self.ending.get().filter(|_| self.due.borrow().is_empty()) {
+                return Err(end);
             }
             self.bell.1.recv().await.ok();
         }
@@ -85,58 +139,125 @@
     /// Whether a client may be told when to come back.
     advises: bool,
     most: usize,
-    open: Cell<usize>,
+    most_held: usize,
+    most_txns: usize,
+    /// The longest that a client waits.
+    patience: Duration,
+    held: Held,
+    open: RefCell<BTreeMap<u64, Rc<Counter>>>,
+    /// Rings when a connection has ended.
+    ended: (Sender<()>, Receiver<()>),
+    stopping: Cell<bool>,
 }
 
 impl Clients {
+    /// At most so many connections, and so many bytes held for them.
     pub fn new(
-        hub: Rc<Hub>, appliances: Rc<Appliances>, told: &Paths, most: usize,
+        hub: Rc<Hub>, appliances: Rc<Appliances>, told: &Paths, most: usize, most_held: usize,
     ) -> Result<Rc<Self>, String> {
         let named = |i: usize| {
             let name = told.text(&format!("profiles.{i}.name"))?.to_owned();
-            let repeat = told.repeat(i)?;
-            Ok(Named { name, product: Product(i as u8), repeat })
+            Ok(Named { name, product: Product(i as u8), repeat: told.repeat(i)? })
         };
-        let count: u8 = told.num("profiles.count")?;
-        let products = (0..usize::from(count)).map(named).collect::<Result<_, String>>()?;
-        let advises = told.num("limits.retry-after")?;
-        Ok(Rc::new(Clients { hub, appliances, products, advises, most, open: Cell::new(0) }))
+        let indices = 0..usize::from(told.num::<u8>("profiles.count")?);
+        let (held, open, stopping) = Default::default();
+        Ok(Rc::new(Clients {
+            hub,
+            appliances,
+            products: indices.map(named).collect::<Result<_, String>>()?,
+            advises: told.num("limits.retry-after")?,
+            most,
+            most_held,
+            most_txns: told.num("limits.max-open")?,
+            patience: told.longest_expiry()?,
+            held,
+            open,
+            ended: async_channel::bounded(1),
+            stopping,
+        }))
     }
 
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
+        let mut serial = 0;
         let incoming = listener.incoming();
         pin!(incoming);
-        while let Some(client) = incoming.next().await {
-            match client {
-                Ok(stream) => {
+        while !self.stopping.get() {
+            let stopped = async {
+                Timer::after(STILL_COMING / 4).await;
+                None
+            };
+            match incoming.next().or(stopped).await {
+                Some(Ok(stream)) => {
                     count(Count::ClientsIn);
-                    self.open.set(self.open.get() + 1);
-                    self.hub.spawn(self.clone().serve(stream));
+                    serial += 1;
+                    self.hub.spawn(self.clone().serve(serial, stream));
+                    future::yield_now().await;
                 }
-                Err(fault) => {
+                Some(Err(fault)) => {
                     say!("no client accepted: {}", End::from(fault));
-                    Timer::after(Duration::from_millis(20)).await;
+                    self.make_room().await;
                 }
+                None => {}
             }
-            while self.open.get() >= self.most {
-                Timer::after(Duration::from_millis(20)).await;
+            while self.open.borrow().len() >= self.most && !self.stopping.get() {
+                self.make_room().await;
             }
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+    /// Ends the longest idle connection, and waits a moment for one to be gone.
+    async fn make_room(&self) {
+        let idle = |open: &BTreeMap<u64, Rc<Counter>>| {
+            let idle = open.values().filter(|counter| counter.is_idle());
+            idle.min_by_key(|counter| counter.since.get()).cloned()
+        };
+        if let Some(counter) = idle(&self.open.borrow()) {
+            counter.end(End::Crowded);
+        }
+        let moment = async {
+            Timer::after(STILL_COMING / 20).await;
+        };
+        async { self.ended.1.recv().await.unwrap_or_default() }.or(moment).await;
+    }
+
+    /// Takes what still comes, answers all that was taken, and ends the connections between requests.
+    pub async fn stop(&self) {
+        let began = self.hub.clock.now();
+        let last = began + self.patience.max(LEAST_EXPIRY) + LAST;
+        Timer::after(STILL_COMING).await;
+        self.stopping.set(true);
+        while !self.open.borrow().is_empty() && self.hub.clock.now() < last {
+            self.open.borrow().values().for_each(|counter| counter.end(End::Stopping));
+            let moment = async {
+                Timer::after(STILL_COMING / 20).await;
+            };
+            async { self.ended.1.recv().await.unwrap_or_default() }.or(moment).await;
+        }
+        let left = self.hub.in_hand();
+        say!("stopped after {} ms with {left} txns in hand", (self.hub.clock.now() - began).as_millis());
+    }
+
+    async fn serve(self: Rc<Self>, serial: u64, stream: Async<TcpStream>) {
         stream.get_ref().set_nodelay(true).ok();
-        let who = stream.get_ref().peer_addr().map_or_else(|_| "a client".into(), |at| at.to_string());
+        let who = stream.get_ref().peer_addr().map_or_else(|_| "unknown".into(), |at| at.to_string());
         let stream = Rc::new(stream);
-        let (due, first) = Default::default();
-        let counter = Rc::new(Counter { due, first, bell: async_channel::bounded(1) });
+        let (due, first, ending) = Default::default();
+        let since = Cell::new(self.hub.clock.now());
+        let bell = async_channel::bounded(1);
+        let counter = Rc::new(Counter { due, first, bell, ending, since, held: self.held.clone() });
+        self.open.borrow_mut().insert(serial, counter.clone());
         let answers = async {
             let mut out = Ring::new(resp::MESSAGE);
             loop {
-                out.put(&counter.next().await);
-                if let Err(end) = out.flush(&stream).await {
+                match counter.next().await {
+                    Ok(answer) => out.put(&answer),
+                    Err(end) => return end,
+                }
+                // A client that does not read its answers holds up nobody else, and not for ever.
+                if let Err(end) = within(self.patience, out.flush(&stream)).await {
                     return end;
                 }
+                counter.since.set(self.hub.clock.now());
             }
         };
         let end = self.read(&stream, &counter).or(answers).await;
@@ -145,21 +266,31 @@
                 self.hub.client_left(id);
             }
         }
-        self.open.set(self.open.get() - 1);
+        self.open.borrow_mut().remove(&serial);
+        self.ended.0.try_send(()).ok();
         count(Count::ClientsOut);
         say!("client {who} ended: {end}");
     }
 
     async fn read(&self, stream: &Rc<Async<TcpStream>>, counter: &Rc<Counter>) -> End {
-        let commands = items(stream.clone(), resp::Commands::default(), resp::MESSAGE);
+        let intake = Intake::new(resp::Commands::default(), resp::MESSAGE, self.patience);
+        let commands = items(stream.clone(), intake);
         pin!(commands);
         loop {
             match commands.next().await {
                 Some(Ok(command)) => {
                     if let Err(why) = self.command(command, counter) {
                         count(Count::CommandsRefused);
-                        counter.put(Due::Ready(format!("-ERR {why}\r\n").into_bytes()));
+                        counter.say(&format!("-ERR {why}"));
                     }
+                    // One that pipelines without end leaves others their turn.
+                    future::yield_now().await;
+                }
+                Some(Err(end @ (End::Malformed | End::TooLong))) => {
+                    count(Count::CommandsRefused);
+                    counter.say(&format!("-ERR protocol error: {end}"));
+                    counter.end(end);
+                    return future::pending().await;
                 }
                 Some(Err(end)) => return end,
                 None => return End::Closed,
@@ -169,33 +300,32 @@
 
     fn command(&self, command: Vec<Vec<u8>>, counter: &Rc<Counter>) -> Result<(), String> {
         let arrived = self.hub.clock.now();
+        counter.since.set(arrived);
         let writes = match command[0].to_ascii_uppercase().as_slice() {
             b"PING" => {
-                let ready = self.appliances.is_known();
-                counter.put(Due::Ready(if ready {
-                    b"+PONG\r\n".into()
-                } else {
-                    b"-ERR not ready\r\n".into()
-                }));
+                if !self.appliances.is_any_ready() {
+                    return Err("no appliance is known".into());
+                }
+                counter.say("+PONG");
                 return Ok(());
             }
             b"SVC.QUERY" => false,
             b"SVC.SUBMIT" => true,
-            other => {
-                return Err(format!("unknown command {}", String::from_utf8_lossy(other).escape_debug()));
-            }
+            other => return Err(format!("unknown command {}", other.escape_ascii())),
+        };
+        let (key, id, pairs) = match command.as_slice() {
+            [_, key, id, pairs] | [_, key, id, pairs, _] => (key, id, pairs),
+            _ => return Err("wrong number of arguments".into()),
         };
-        let [_, key, id, pairs, ..] = command.as_slice() else { return Err("too few arguments".into()) };
         if id.is_empty() {
             return Err("no id".into());
         }
         let text = std::str::from_utf8(pairs).map_err(|_| "values are not UTF-8")?;
         let value = |name: &str| text.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-        let class = value("c").ok_or("no class")?;
-        let named =
-            self.products.iter().find(|named| named.name == json::word(class)).ok_or("unknown class")?;
+        let class = json::word(value("c").ok_or("no class")?);
+        let named = self.products.iter().find(|named| named.name == class).ok_or("unknown class")?;
         if writes == (named.repeat == Repeat::InquiryLike) {
-            return Err(format!("{class} takes the other command"));
+            return Err("this class takes the other command".into());
         }
         let whole = |name| value(name).map(|value| value.parse::<u32>().map_err(|_| format!("bad {name}")));
         let wait = whole("d").ok_or("no d")??;
@@ -210,20 +340,24 @@
             hint: hint.map(|micros| Duration::from_micros(micros.into())),
             repeated: value("r") == Some("1"),
         };
+        let size = command.iter().map(|part| part.len() + size_of_val(part)).sum::<usize>();
+        if self.hub.in_hand() >= self.most_txns || self.held.0.get() + size > self.most_held {
+            count(Count::TurnedAway);
+            counter.say("-BUSY");
+            return Ok(());
+        }
         let place = counter.first.get() + counter.due.borrow().len() as u64;
         let (to, advises) = (counter.clone(), self.advises);
-        let txn = self.hub.take(txn, wording(command), move |answer| {
-            to.ready(
-                place,
-                match answer {
-                    Answer::Settled(value) => resp::bulk(&value),
-                    Answer::Declined(wait) if advises && !wait.is_zero() => {
-                        format!("-BUSY {}\r\n", wait.as_millis()).into_bytes()
-                    }
-                    Answer::Declined(_) => b"-BUSY\r\n".to_vec(),
-                    Answer::Voided => b"-ERR failed\r\n".to_vec(),
-                },
-            );
+        let txn = self.hub.take(txn, wording(command, self.held.share(size)), move |answer| {
+            let answer = match answer {
+                Answer::Settled(value) => resp::bulk(&value),
+                Answer::Declined(wait) if advises && !wait.is_zero() => {
+                    format!("-BUSY {}\r\n", wait.as_millis()).into_bytes()
+                }
+                Answer::Declined(_) => b"-BUSY\r\n".to_vec(),
+                Answer::Voided => b"-ERR failed\r\n".to_vec(),
+            };
+            to.ready(place, answer);
         });
         counter.put(Due::Owed(txn));
         Ok(())
@@ -231,8 +365,9 @@
 }
 
 /// The command as it came, but for how long its answer is waited for.
-fn wording(command: Vec<Vec<u8>>) -> Wording {
+fn wording(command: Vec<Vec<u8>>, held: Share) -> Wording {
     Rc::new(move |wait| {
+        let _ = &held;
         let pairs = String::from_utf8_lossy(&command[3]);
         let put =
             |pair: &str| if pair.starts_with("d=") { format!("d={}", wait.as_millis()) } else { pair.into() };
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -16,7 +16,7 @@
 use crate::hub::Hub;
 use crate::json::{self, Json};
 use crate::log::{Count, End, count, say};
-use crate::ring::{Parse, Ring, connect, items, within};
+use crate::ring::{Intake, Parse, Ring, connect, items, within};
 
 /// A quiet watch sends an empty line this often.
 const QUIET: Duration = Duration::from_secs(2);
@@ -115,6 +115,10 @@
 impl Parse for Answer {
     type Item = Json;
 
+    fn is_between(&self) -> bool {
+        self.values.is_between()
+    }
+
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Json>), End> {
         let mut at = 0;
         while at < bytes.len() {
@@ -312,7 +316,7 @@
         if let Err(end) = within(self.connect_within, ask.flush(&stream)).await {
             return end;
         }
-        let lists = items(stream, Lines(Answer::new(self.most)), self.most);
+        let lists = items(stream, Intake::new(Lines(Answer::new(self.most)), self.most, QUIET * 3));
         pin!(lists);
         loop {
             let next = async { lists.next().await.unwrap_or(Err(End::Closed)) };
@@ -340,6 +344,10 @@
 impl Parse for Lines {
     type Item = Option<Json>;
 
+    fn is_between(&self) -> bool {
+        self.0.is_between()
+    }
+
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Option<Json>>), End> {
         self.0.take(bytes).map(|(taken, value)| (taken, Some(value)))
     }
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -108,6 +108,11 @@
         id
     }
 
+    /// How many txns are in hand.
+    pub fn in_hand(&self) -> usize {
+        self.owed.borrow().len()
+    }
+
     /// Gives the final answer, if it is still owed.
     fn answer(&self, id: TxnId, answer: Answer) {
         let owed = self.owed.borrow_mut().get_mut(&id).and_then(|owed| owed.answer.take());
@@ -139,8 +144,11 @@
 
     /// Whether a submission that has waited for its link may still go: the module says.
     pub async fn may_go(&self, id: TxnId, leg: Leg) -> bool {
-        let _ = leg;
-        self.is_owed(id)
+        let (say, said) = async_channel::bounded(1);
+        self.tell(move |ear| {
+            say.try_send(ear.may_go(id, leg)).ok();
+        });
+        said.recv().await.unwrap_or(false)
     }
 
     /// A submission has ended; a first answer goes to the client at once and ends the txn.
--- a/crates/agent/src/json.rs
+++ b/crates/agent/src/json.rs
@@ -282,6 +282,10 @@
 impl Parse for Values {
     type Item = Json;
 
+    fn is_between(&self) -> bool {
+        self.seen == 0
+    }
+
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Json>), End> {
         for (i, &b) in bytes.iter().enumerate() {
             let between = self.seen == 0 && self.open.is_empty() && b.is_ascii_whitespace();
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -79,7 +79,8 @@
     Crowded "crowded"
     Stale "stale"
     Gone "gone"
-    NoDescriptor "no-descriptor"
+    OwnLimit "own-limit"
+    Stopping "stopping"
     Failed "failed"
 }
 
@@ -92,12 +93,12 @@
             | io::ErrorKind::BrokenPipe
             | io::ErrorKind::ConnectionAborted
             | io::ErrorKind::NotConnected => End::Reset,
-            io::ErrorKind::TimedOut
-            | io::ErrorKind::HostUnreachable
-            | io::ErrorKind::NetworkUnreachable
-            | io::ErrorKind::AddrNotAvailable => End::Unreachable,
-            // EMFILE and ENFILE have no kind of their own.
-            _ if matches!(fault.raw_os_error(), Some(23 | 24)) => End::NoDescriptor,
+            io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable | io::ErrorKind::NetworkUnreachable => {
+                End::Unreachable
+            }
+            // No port is free. EMFILE and ENFILE have no kind of their own.
+            io::ErrorKind::AddrNotAvailable => End::OwnLimit,
+            _ if matches!(fault.raw_os_error(), Some(23 | 24)) => End::OwnLimit,
             _ => End::Failed,
         }
     }
@@ -120,6 +121,7 @@
     CommandsRefused "commands_refused"
     Settled "settled"
     Declined "declined"
+    TurnedAway "turned_away"
     Voided "voided"
     ClientsLeft "left_by_client"
     Submissions "submissions"
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -18,13 +18,18 @@
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use async_io::Async;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 
+use crate::clients::Clients;
 use crate::log::say;
 
+/// Descriptors for all but clients and links: output, the reactor, signals, listeners, discovery, the platform.
+const OWN: usize = 32;
+
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
@@ -40,13 +45,17 @@
     let text = std::fs::read(&file).map_err(|fault| format!("the start file {file}: {fault}"))?;
     let told = told::read(&text)?;
     drop(text);
+    let unusable = |name: &str| format!("the start file's {name} cannot be used");
     let settings = &told.settings;
     let brain = lilacgate_start::instance(told.seed, settings)?.brain;
     let hub = hub::Hub::new(settings.span("rules.answer-slack")?);
-    // Clients, and links to appliances, each have their part of the descriptors; the rest is the agent's own.
-    let part = told.sockets * 7 / 16;
+    // What the agent itself needs comes first; clients, and links to appliances, have half of the rest each.
+    let part = told.sockets.saturating_sub(OWN) / 2;
+    if part == 0 {
+        return Err(unusable("limits.sockets"));
+    }
     let appliances = appliances::Appliances::new(hub.clone(), settings, part)?;
-    let clients = clients::Clients::new(hub.clone(), appliances.clone(), settings, part)?;
+    let clients = clients::Clients::new(hub.clone(), appliances.clone(), settings, part, told.memory / 4)?;
     let most = told.memory / 16;
     let discovery =
         discovery::Discovery::new(hub.clone(), appliances.clone(), told.discovery, settings, most)?;
@@ -55,7 +64,6 @@
         Some(listen) => Some(peers::Peers::new(hub.clone(), listen, told.peers, told.peers_all)?),
         None => None,
     };
-    let unusable = |name: &str| format!("the start file's {name} cannot be used");
     discovery.told(&told.known, true).ok_or_else(|| unusable("known"))?;
     if !platform.told(&told.news) {
         return Err(unusable("pipeline.news"));
@@ -72,19 +80,23 @@
     let hands =
         hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, wakes: BTreeSet::new() };
     hub.spawn(hands.host(brain));
-    hub.spawn(clients.accept(listener));
-    async_io::block_on(hub.run(signals()))
+    hub.spawn(clients.clone().accept(listener));
+    async_io::block_on(hub.run(signals(clients)))
 }
 
-/// Counters at SIGUSR1; ends at SIGTERM.
-async fn signals() -> Result<(), String> {
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| format!("signals: {e}"))?;
-    while let Some(signal) = signals.next().await {
+/// Counters at SIGUSR1. At SIGTERM all that was taken is answered first; a second one ends at once.
+async fn signals(clients: Rc<Clients>) -> Result<(), String> {
+    let wanted = [Signal::Term, Signal::Int, Signal::Usr1];
+    let mut signals = Signals::new(wanted).map_err(|fault| format!("signals: {fault}"))?;
+    stop_asked(&mut signals).await;
+    say!("stopping");
+    clients.stop().or(stop_asked(&mut signals)).await;
+    eprintln!("counters:{}", log::counters());
+    Ok(())
+}
+
+async fn stop_asked(signals: &mut Signals) {
+    while let Some(Ok(Signal::Usr1)) = signals.next().await {
         eprintln!("counters:{}", log::counters());
-        if !matches!(signal, Ok(Signal::Usr1)) {
-            break;
-        }
     }
-    Ok(())
 }
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -100,7 +100,7 @@
         let stream = Rc::new(connect(self.at, self.connect_within).await?);
         let (_, mut ask) = self.wording("listen", "");
         within(self.connect_within, ask.flush(&stream)).await?;
-        let told = items(stream, json::Values::new(LINE), LINE);
+        let told = items(stream, Intake::new(json::Values::new(LINE), LINE, PING * 3));
         pin!(told);
         loop {
             let next = async { told.next().await.unwrap_or(Err(End::Closed)) };
@@ -160,7 +160,7 @@
             Some(line) => line,
             None => Line {
                 stream: connect(self.at, self.connect_within).await?,
-                intake: Intake::new(json::Values::new(LINE), LINE),
+                intake: Intake::new(json::Values::new(LINE), LINE, self.answer_within),
             },
         };
         let (id, mut ask) = self.wording("verdict", params);
--- a/crates/agent/src/resp.rs
+++ b/crates/agent/src/resp.rs
@@ -96,6 +96,10 @@
 impl Parse for Values {
     type Item = Resp;
 
+    fn is_between(&self) -> bool {
+        self.seen == 0
+    }
+
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Resp>), End> {
         let mut at = 0;
         while at < bytes.len() {
@@ -142,6 +146,10 @@
 impl Parse for Commands {
     type Item = Vec<Vec<u8>>;
 
+    fn is_between(&self) -> bool {
+        self.0.is_between()
+    }
+
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Self::Item>), End> {
         if self.0.seen == 0 && bytes.first().is_some_and(|&b| b != b'*') {
             return Err(End::Malformed);
--- a/crates/agent/src/ring.rs
+++ b/crates/agent/src/ring.rs
@@ -21,6 +21,8 @@
     type Item;
     /// Takes bytes from the front, up to the end of one item at most; returns how many it took.
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Self::Item>), End>;
+    /// Whether nothing of a next item has come.
+    fn is_between(&self) -> bool;
 }
 
 pub struct Ring {
@@ -82,15 +84,24 @@
 pub struct Intake<P> {
     ring: Ring,
     parser: P,
+    /// In which time an item must be whole, once begun.
+    patience: Duration,
 }
 
 impl<P: Parse> Intake<P> {
-    pub fn new(parser: P, most: usize) -> Self {
-        Intake { ring: Ring::new(most), parser }
+    pub fn new(parser: P, most: usize, patience: Duration) -> Self {
+        Intake { ring: Ring::new(most), parser, patience }
     }
 
     /// The next item; nothing at the end of the stream.
     pub async fn next(&mut self, from: &Async<TcpStream>) -> Result<Option<P::Item>, End> {
+        if self.ring.is_empty() && self.parser.is_between() {
+            from.readable().await.map_err(End::from)?;
+        }
+        within(self.patience, self.whole(from)).await
+    }
+
+    async fn whole(&mut self, from: &Async<TcpStream>) -> Result<Option<P::Item>, End> {
         loop {
             while !self.ring.is_empty() {
                 let (taken, item) = self.parser.take(self.ring.bytes.as_slices().0)?;
@@ -109,15 +120,17 @@
     /// Whether a quiet connection is still open, with nothing left over on it.
     pub fn is_quiet(&mut self, from: &Async<TcpStream>) -> bool {
         let waits = |e: &io::Error| e.kind() == io::ErrorKind::WouldBlock;
-        self.ring.is_empty() && self.ring.fill(from.get_ref()).as_ref().is_err_and(waits)
+        self.ring.is_empty()
+            && self.parser.is_between()
+            && self.ring.fill(from.get_ref()).as_ref().is_err_and(waits)
     }
 }
 
 /// A connection as a stream of items.
 pub fn items<P: Parse>(
-    from: Rc<Async<TcpStream>>, parser: P, most: usize,
+    from: Rc<Async<TcpStream>>, intake: Intake<P>,
 ) -> impl Stream<Item = Result<P::Item, End>> {
-    stream::try_unfold((from, Intake::new(parser, most)), async |(from, mut intake)| {
+    stream::try_unfold((from, intake), async |(from, mut intake)| {
         let item = intake.next(&from).await?;
         Ok(item.map(|item| (item, (from, intake))))
     })
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -71,6 +71,13 @@
         found.ok_or_else(|| format!("{key} is {text:?}, which is unknown"))
     }
 
+    /// The longest that a client waits, over all products.
+    pub fn longest_expiry(&self) -> Result<Duration, String> {
+        let count: u8 = self.num("profiles.count")?;
+        (0..count)
+            .try_fold(Duration::ZERO, |most, i| Ok(most.max(self.period(&format!("profiles.{i}.give-up"))?)))
+    }
+
     /// What may be done again with a txn of the i-th product.
     pub fn repeat(&self, i: usize) -> Result<Repeat, String> {
         let key = |field| format!("profiles.{i}.{field}");
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,11 @@
     (took + prior * usual(a, now, stock)) / (worked + prior)
 }
 
+/// Whether a barred appliance is left alone; at times it is tried with one txn.
+fn shut(a: &Appliance, now: Duration, panic: bool) -> bool {
+    a.barred() && !panic && (now < a.record.barred_until || !a.out.is_empty())
+}
+
 /// Leaves an appliance alone for a while, twice as long each time in a row.
 fn strike(record: &mut Record, now: Duration) {
     if now >= record.barred_until {
@@ -90,19 +95,23 @@
         }
     }
 
-    fn permits(&self, now: Duration, build: Build, h: &Held) -> bool {
-        let (product, w) = (h.txn.product, &self.windows);
+    /// Whether a txn may go to a build at all.
+    fn admits(&self, build: Build, h: &Held) -> bool {
         let Some((stage, cap)) = self.bound(build) else {
             let onward = |n: News| build < n.build && matches!(n.course, Course::OnTrial | Course::Released);
-            let answered = h.txn.mark.is_some_and(|m| w.answered.contains(&m));
+            let answered = h.txn.mark.is_some_and(|m| self.windows.answered.contains(&m));
             return !(self.forward_only && answered && self.news.is_some_and(onward));
         };
-        if cap <= 0.0 || (stage.0 < self.guarded && h.terms.repeat != Repeat::InquiryLike) {
-            return false;
-        }
+        cap > 0.0 && (stage.0 >= self.guarded || h.terms.repeat == Repeat::InquiryLike)
+    }
+
+    fn permits(&self, now: Duration, build: Build, h: &Held) -> bool {
+        let Some((_, cap)) = self.bound(build).filter(|_| self.admits(build, h)) else {
+            return self.admits(build, h);
+        };
         // Strictly inside the window, by a tick: an arrival at its very edge may not be counted.
         let edge = (now + self.tick + Duration::from_micros(1)).saturating_sub(self.span);
-        let (lane, from) = (self.lane(product), now.saturating_sub(self.span));
+        let (lane, from, w) = (self.lane(h.txn.product), now.saturating_sub(self.span), &self.windows);
         let (sent, taken) = (w.sent_since(lane, build, from), w.taken_since(lane, edge));
         // What an earlier life of this agent sent is not known: its free allowance may be used up.
         let free = if w.started.is_some_and(|s| s + self.span >= now) { 0.0 } else { self.free };
@@ -247,11 +256,8 @@
     pub(crate) fn told(&mut self, now: Duration, from: AgentId, octets: &[u8], fleet: &Fleet) {
         let Some((build, version, sums, entries)) = report::read(octets) else { return };
         let last = self.own.heard.get(&from).copied().unwrap_or_default();
-        if self.own.build != Some(build)
-            || !self.judging(build)
-            || from.0 >= self.among.agents
-            || version <= last
-        {
+        let known = self.own.build == Some(build) && from.0 < self.among.agents;
+        if !known || !self.judging(build) || version <= last {
             return;
         }
         self.own.heard.insert(from, version);
@@ -264,11 +270,9 @@
         }
     }
 
-    pub(crate) fn begin(
-        &mut self, now: Duration, build: Build, started: Duration, demand: &Demand, turn: f64,
-    ) {
+    pub(crate) fn begin(&mut self, now: Duration, build: Build, started: Duration, past: &Demand, turn: f64) {
         // An agent that restarted amid a trial has no time before it to compare with.
-        let (borne, weight) = demand.borne.read(now, USUAL);
+        let (borne, weight) = past.borne.read(now, USUAL);
         self.own.bore = if started + USUAL / 4 < now { borne / weight.max(1e-9) } else { 0.0 };
         (self.own.build, self.own.turn) = (Some(build), turn);
         self.own.version.0 = started.as_millis() as u32;
@@ -455,10 +459,9 @@
     fn attend(&mut self, id: TxnId, out: &mut dyn Decisions) -> Option<Duration> {
         let now = self.now;
         let h = self.desk.held.get_mut(&id)?;
-        let left = h.txn.expiry.saturating_sub(now);
+        let left = h.txn.expiry.saturating_sub(now) > self.desk.tick * 4;
         let sla_left = (h.arrived + h.terms.sla).saturating_sub(now);
-        let more =
-            h.legs.len() < self.desk.max_submissions && resendable(h, now) && left > self.desk.tick * 4;
+        let more = left && h.legs.len() < self.desk.max_submissions && resendable(h, now);
         let waiting = h.out().next().map(|(leg, l)| (leg, l.to, l.sent, l.called_off));
         if let Some((leg, to, sent, called_off)) = waiting {
             let usual = 4.0 * self.stock.middle_pace * h.work.max(self.stock.usual_work);
@@ -542,11 +545,7 @@
         self.stock.panic = 2 * sick > fleet.ready().count();
         let (mut listed, mut out) = ([0.0; 2], [0.0; 2]);
         let (mut seats, mut sums): ([Vec<Seat>; 2], _) = (Default::default(), [0.0; 2]);
-        for (id, a) in fleet.ready() {
-            let parole = now >= a.record.barred_until && a.out.is_empty();
-            if a.barred() && !self.stock.panic && !parole {
-                continue;
-            }
+        for (id, a) in fleet.ready().filter(|(_, a)| !shut(a, now, self.stock.panic)) {
             let weight = a.weight() * self.thaw.warmth(a.age(now));
             let arm = usize::from(self.exposure.bound(a.line.build).is_some());
             listed[arm] += weight;
@@ -574,12 +573,11 @@
         let Some(a) = self.roster.fleet.0.get(&to).filter(|a| a.line.mode == Mode::Ready) else {
             return false;
         };
-        let parole =
-            self.now >= a.record.barred_until && a.out.is_empty() && h.terms.repeat != Repeat::OnceOnly;
         // Listed sizes leave out how fast a model is; what the mean bears can push a slow one over.
         let fair = self.stock.fair * a.weight() * self.jury.own.speed(a.line.model);
         h.in_group(&a.line)
-            && (!a.barred() || self.stock.panic || parole)
+            && !shut(a, self.now, self.stock.panic)
+            && (!a.barred() || self.stock.panic || h.terms.repeat != Repeat::OnceOnly)
             && self.thaw.bears(self.now, a, fair, h, self.stock.due)
             && self.exposure.permits(self.now, a.line.build, h)
     }
@@ -626,15 +624,20 @@
         across * (1.0 + out) * pace / (1.0 - 0.9 * a.record.fails.share(self.now, RECENT, 1.0))
     }
 
+    /// Whether what waited for its connection may still go. Guards against drains, caps, builds told meanwhile.
+    pub(crate) fn stands(&self, id: TxnId, leg: Leg) -> bool {
+        let Some(h) = self.desk.held.get(&id) else { return false };
+        let Some(l) = h.legs.get(usize::from(leg.0)).filter(|l| !l.called_off) else { return false };
+        let same = |a: &Appliance| a.line.mode == Mode::Ready && a.line.build == l.build;
+        self.roster.fleet.0.get(&l.to).is_some_and(same) && self.exposure.admits(l.build, h)
+    }
+
     fn submit(&mut self, id: TxnId, to: ApplianceId, out: &mut dyn Decisions) {
         let now = self.now;
         let (Some(h), Some(a)) = (self.desk.held.get_mut(&id), self.roster.fleet.0.get_mut(&to)) else {
             return;
         };
         let (txn, build, work) = (h.txn, a.line.build, h.work);
-        if a.line.mode != Mode::Ready || !resendable(h, now) || !self.exposure.permits(now, build, h) {
-            return;
-        }
         if self.exposure.bound(build).is_some() {
             let lane = self.exposure.lane(txn.product);
             self.exposure.windows.sent.entry((lane, build)).or_default().push_back(now);
--- a/src/ear.rs
+++ b/src/ear.rs
@@ -41,6 +41,10 @@
         self.desk.held.remove(&id);
     }
 
+    fn may_go(&mut self, id: TxnId, leg: Leg) -> bool {
+        self.stands(id, leg)
+    }
+
     fn roster(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
         self.roster.update(self.now, listing, lines);
         self.stock.next = Duration::ZERO;
--- a/src/port.rs
+++ b/src/port.rs
@@ -181,6 +181,8 @@
     fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool);
     fn stream_begun(&mut self, id: TxnId, leg: Leg, at: ApplianceId, took: Duration);
     fn client_left(&mut self, id: TxnId);
+    /// Asks whether a submission may still go that waited for its connection. If not, it ends as unsent.
+    fn may_go(&mut self, id: TxnId, leg: Leg) -> bool;
     /// `lines` are the entries of this update, none if it failed.
     fn roster(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>);
     fn load(&mut self, _at: ApplianceId, _gauges: &[f32]) {}
