Agent tests: parsers cut everywhere, end to end against stand-ins on loopback

Found by them: a line end within a JSON text was swallowed (json.rs, the arm for white space stood before the text's own); it is malformed now.

It now counts as idle only after the time a connection may take to come up.

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -141,6 +141,8 @@
     most: usize,
     most_held: usize,
     most_txns: usize,
+    /// How long a connection may take to come up, and so its first command.
+    settles: Duration,
     /// The longest that a client waits.
     patience: Duration,
     held: Held,
@@ -169,6 +171,7 @@
             most,
             most_held,
             most_txns: told.num("limits.max-open")?,
+            settles: told.period("limits.connect-timeout")?,
             patience: told.longest_expiry()?,
             held,
             open,
@@ -205,13 +208,13 @@
         }
     }
 
-    /// Ends the longest idle connection, and waits a moment for one to be gone.
+    /// Ends the longest idle connection, and waits a moment for one to be gone. One that has just come has its
+    /// first command on the way.
     async fn make_room(&self) {
-        let idle = |open: &BTreeMap<u64, Rc<Counter>>| {
-            let idle = open.values().filter(|counter| counter.is_idle());
-            idle.min_by_key(|counter| counter.since.get()).cloned()
-        };
-        if let Some(counter) = idle(&self.open.borrow()) {
+        let quiet_since = self.hub.clock.now().saturating_sub(self.settles);
+        let idle = |counter: &&Rc<Counter>| counter.is_idle() && counter.since.get() <= quiet_since;
+        let longest = self.open.borrow().values().filter(idle).min_by_key(|c| c.since.get()).cloned();
+        if let Some(counter) = longest {
             counter.end(End::Crowded);
         }
         let moment = async {
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -98,6 +98,13 @@
         self.queue.0.try_send(Box::new(call)).ok();
     }
 
+    /// Makes all calls that are queued.
+    pub fn hear(&self, ear: &mut dyn Hears) {
+        while let Ok(call) = self.queue.1.try_recv() {
+            call(ear);
+        }
+    }
+
     /// Takes a txn; `answer` is called once, with its final answer, unless the client leaves before.
     pub fn take(&self, txn: Txn, wording: Wording, answer: impl FnOnce(Answer) + 'static) -> TxnId {
         count(Count::TxnsTaken);
@@ -195,7 +202,7 @@
     /// Hosts the module for as long as the agent runs.
     pub async fn host(mut self, mut brain: Brain) {
         let queue = self.hub.queue.1.clone();
-        let clock = self.hub.clock;
+        let (hub, clock) = (self.hub.clone(), self.hub.clock);
         loop {
             let next = self.wakes.first().map(|(at, _)| *at);
             let alarm = async {
@@ -219,9 +226,7 @@
                 now,
                 |ear| {
                     first.into_iter().for_each(|call: Call| call(ear));
-                    while let Ok(call) = queue.try_recv() {
-                        call(ear);
-                    }
+                    hub.hear(ear);
                     due.iter().for_each(|(_, ticket)| ear.woken(*ticket));
                 },
                 &mut Round { hands: &mut self, now },
--- a/crates/agent/src/json.rs
+++ b/crates/agent/src/json.rs
@@ -184,6 +184,7 @@
                     None => self.byte(b),
                 };
             }
+            (State::Text, _) => return Err(End::Malformed),
             (_, _) if space => {}
             (State::First | State::After, b']') | (State::Opened | State::After, b'}') => {
                 return self.close(b);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -15,6 +15,10 @@
 mod ring;
 mod told;
 
+#[cfg(test)]
+#[path = "../tests/inside/mod.rs"]
+mod inside;
+
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -65,9 +69,8 @@
         None => None,
     };
     discovery.told(&told.known, true).ok_or_else(|| unusable("known"))?;
-    if !platform.told(&told.news) {
-        return Err(unusable("pipeline.news"));
-    }
+    platform::news(&told.news).ok_or_else(|| unusable("pipeline.news"))?;
+    platform.told(&told.news);
     let listener =
         Async::<TcpListener>::bind(told.listen).map_err(|e| format!("listen {}: {e}", told.listen))?;
     say!("{} listens at {}", told.name, told.listen);
--- /dev/null
+++ b/crates/agent/tests/inside/mod.rs
@@ -0,0 +1,185 @@
+//! What can only be seen from inside. Parsers, fed whole, byte by byte and cut at every place, must find the same: a
+//! line of their scenarios is `KIND BYTES => ITEM | ITEM !FAULT`, with \r \n \xHH and <COUNT*BYTES> in the bytes.
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lilacgate::port::*;
+use lilacgate_start::Paths;
+use rstest::rstest;
+
+use crate::appliances::Appliances;
+use crate::discovery::Answer;
+use crate::hub::{Hub, Wording};
+use crate::json::{self, Json};
+use crate::log::Place;
+use crate::resp::{self, Resp};
+use crate::ring::Parse;
+
+fn bytes(text: &str) -> Vec<u8> {
+    let (mut out, mut rest) = (Vec::new(), text.as_bytes());
+    while let [first, after @ ..] = rest {
+        (rest, _) = match (first, after) {
+            (b'<', after) if after.first().is_some_and(u8::is_ascii_digit) => {
+                let inner = text[text.len() - after.len()..].split('>').next().unwrap_or_default();
+                let (count, what) = inner.split_once('*').expect("a count");
+                out.extend(bytes(what).repeat(count.parse().expect("a count")));
+                (&after[inner.len() + 1..], ())
+            }
+            (b'\\', [b'x', a, b, after @ ..]) => {
+                let digit = |d: &u8| char::from(*d).to_digit(16).expect("a digit") as u8;
+                (after, out.push(digit(a) * 16 + digit(b)))
+            }
+            (b'\\', [b'r', after @ ..]) => (after, out.push(b'\r')),
+            (b'\\', [b'n', after @ ..]) => (after, out.push(b'\n')),
+            (b'\\', [other, after @ ..]) => (after, out.push(*other)),
+            (other, after) => (after, out.push(*other)),
+        };
+    }
+    out
+}
+
+/// What a parser finds in these pieces, as a text.
+fn found<P: Parse>(mut parser: P, pieces: &[&[u8]], show: &impl Fn(P::Item) -> String) -> String {
+    let mut out = Vec::new();
+    for piece in pieces {
+        let mut rest = *piece;
+        while !rest.is_empty() {
+            match parser.take(rest) {
+                Ok((taken, item)) => {
+                    assert!(taken <= rest.len() && (taken > 0 || item.is_some()));
+                    out.extend(item.map(show));
+                    rest = &rest[taken..];
+                }
+                Err(end) => return format!("{} !{end}", out.join(" | ")).trim().to_owned(),
+            }
+        }
+    }
+    out.join(" | ")
+}
+
+fn in_all_ways<P: Parse>(make: impl Fn() -> P, text: &[u8], show: impl Fn(P::Item) -> String) -> String {
+    let whole = found(make(), &[text], &show);
+    assert_eq!(found(make(), &text.chunks(1).collect::<Vec<_>>(), &show), whole, "byte by byte");
+    // Every place of a short one, and some of a long one.
+    for cut in (0..text.len()).step_by(1 + text.len() / 500) {
+        let (a, b) = text.split_at(cut);
+        assert_eq!(found(make(), &[a, b], &show), whole, "cut at {cut}");
+    }
+    whole
+}
+
+fn words(command: Vec<Vec<u8>>) -> String {
+    command.iter().map(|word| word.escape_ascii().to_string()).collect::<Vec<_>>().join(" ")
+}
+
+fn answer(value: Resp) -> String {
+    match value {
+        Resp::Simple(text) => format!("+{}", text.escape_ascii()),
+        Resp::Error(text) => format!("-{}", text.escape_ascii()),
+        Resp::Integer(number) => format!(":{number}"),
+        Resp::Bulk(text) => text.map_or("$null".into(), |text| format!("${}", text.escape_ascii())),
+        Resp::Array(None) => "*null".into(),
+        Resp::Array(Some(items)) => {
+            format!("[{}]", items.into_iter().map(answer).collect::<Vec<_>>().join(" "))
+        }
+    }
+}
+
+fn flat(value: Json) -> String {
+    let mut out = Vec::new();
+    value.flatten("", &mut |path, value| out.push(format!("{path}={value}")));
+    out.join(" ")
+}
+
+#[rstest]
+fn parser(#[files("tests/parsers/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("a scenario");
+    for line in text.lines().filter(|line| !line.is_empty() && !line.starts_with('#')) {
+        let (what, want) = line.split_once(" =>").expect("what it finds");
+        let (kind, what) = what.split_once(' ').expect("a kind");
+        let what = bytes(what);
+        let got = match kind {
+            "commands" => in_all_ways(resp::Commands::default, &what, words),
+            "answers" => in_all_ways(resp::Values::default, &what, answer),
+            "json" => in_all_ways(|| json::Values::new(100), &what, flat),
+            "http" => in_all_ways(|| Answer::new(100), &what, flat),
+            other => panic!("no parser of {other}"),
+        };
+        assert_eq!(got, want.trim(), "{line:.300}");
+    }
+}
+
+/// Hears how submissions end, and says whether they may go.
+struct Ear {
+    may_go: bool,
+    ended: Option<Ending>,
+}
+
+impl Hears for Ear {
+    fn txn(&mut self, _: TxnId, _: Txn) {}
+    fn ended(&mut self, _: TxnId, _: Leg, _: ApplianceId, ending: Ending, _: Duration, _: bool) {
+        self.ended = Some(ending);
+    }
+    fn stream_begun(&mut self, _: TxnId, _: Leg, _: ApplianceId, _: Duration) {}
+    fn client_left(&mut self, _: TxnId) {}
+    fn may_go(&mut self, _: TxnId, _: Leg) -> bool {
+        self.may_go
+    }
+    fn roster(&mut self, _: Listing, _: &mut dyn Iterator<Item = Line>) {}
+    fn stage(&mut self, _: Build, _: Stage, _: Course, _: f64, _: Duration) {}
+    fn vote_answered(&mut self, _: Ending) {}
+    fn wrong_answer(&mut self, _: ApplianceId, _: Product, _: Duration) {}
+}
+
+/// What waited for its link goes only if the owner of the queue says so; else it ends as unsent, with no byte out. A
+/// lack of links of its own, and an appliance without an address, are unsent too: they say nothing of the appliance.
+#[rstest]
+#[case::goes(true, 9, 1, Ending::TurnedAway)]
+#[case::may_not(false, 9, 1, Ending::Unsent)]
+#[case::no_link_left(true, 0, 1, Ending::Unsent)]
+#[case::no_address(true, 9, 2, Ending::Unsent)]
+fn asked_before_the_first_byte(
+    #[case] may_go: bool, #[case] links: usize, #[case] to: u32, #[case] want: Ending,
+) {
+    let told = "feedback.names=\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\n\
+        profiles.count=1\nprofiles.0.give-up=9000000";
+    let hub = Hub::new(Duration::ZERO);
+    let appliances = Appliances::new(hub.clone(), &Paths::from_lines(told), links).expect("links");
+    let post = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    appliances.place(ApplianceId(1), post.local_addr().expect("its address"), Mode::Ready);
+    let came = std::thread::spawn(move || {
+        let mut conn = post.accept().expect("a link").0;
+        let mut came = [0; 4];
+        let many = conn.read(&mut came).unwrap_or(0);
+        conn.write_all(b"-BUSY\r\n").ok();
+        many
+    });
+    let now = hub.clock.now();
+    let words: Wording = Rc::new(|_| b"hello".to_vec());
+    appliances.submit((TxnId(0), Leg(0)), ApplianceId(to), words, now, now + Duration::from_secs(9));
+    let mut ear = Ear { may_go, ended: None };
+    async_io::block_on(hub.run(async {
+        while ear.ended.is_none() {
+            hub.hear(&mut ear);
+            futures_lite::future::yield_now().await;
+        }
+    }));
+    assert_eq!(ear.ended, Some(want));
+    if links > 0 && to == 1 {
+        drop((hub, appliances));
+        assert_eq!(came.join().expect("it ends") > 0, may_go);
+    }
+}
+
+/// A place writes so many lines a second, and says later how many it left out.
+#[rstest]
+fn log_lines_are_bounded() {
+    let place = Place::new();
+    let said = |second| (0..100).filter_map(|_| place.may_say(second)).collect::<Vec<_>>();
+    let first = said(7);
+    assert!(first.len() < 100 && first.iter().all(|left_out| *left_out == 0));
+    assert_eq!(said(8)[0], 100 - first.len() as u64);
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,6 +6,7 @@
 //!     roster KIND ID:MODE:BUILD[:AGE[:ZONE]] ..   | txn ID PRODUCT [EXPIRY] [MARK]   | left ID
 //!     ended ID/LEG APPLIANCE ENDING TOOK [closed] | stage BUILD STAGE COURSE CAP     | voted ENDING
 //!     burst MANY PRODUCT                   so many txns in one round
+//!     go ID/LEG yes|no                     whether it may still go after a wait for its connection
 //!     wrong APPLIANCE PRODUCT AGO          an answer sent so long ago was found wrong
 //!     report FROM BUILD SERIAL T/U/A [ID:PRODUCT:MANY:BAD ..]  a peer's report: work in time, usual, asked, counts
 //!     restart                                       the agent dies and comes back
@@ -221,6 +222,13 @@
                 let (at, took, how) = (ApplianceId(at.parse().expect("an id")), ms(took), ending(how));
                 self.round(|ear| ear.ended(id, leg, at, how, took, !closed.is_empty()));
             }
+            ["go", leg, want] => {
+                let (id, leg) = leg.split_once('/').expect("ID/LEG");
+                let (id, leg) = (TxnId(id.parse().expect("an id")), Leg(leg.parse().expect("a leg")));
+                let mut may = false;
+                self.round(|ear| may = ear.may_go(id, leg));
+                assert_eq!(may, *want == "yes");
+            }
             ["stage", build, stage, course, cap] => {
                 let course = match *course {
                     "trial" => Course::OnTrial,
