--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -69,8 +69,7 @@
         None => None,
     };
     discovery.told(&told.known, true).ok_or_else(|| unusable("known"))?;
-    platform::news(&told.news).ok_or_else(|| unusable("pipeline.news"))?;
-    platform.told(&told.news);
+    hub.tell(platform::news(&told.news).ok_or_else(|| unusable("pipeline.news"))?);
     let listener =
         Async::<TcpListener>::bind(told.listen).map_err(|e| format!("listen {}: {e}", told.listen))?;
     say!("{} listens at {}", told.name, told.listen);
