--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,6 +63,9 @@
     /// The number of the first of them.
     first: Cell<u64>,
     bell: (Sender<()>, Receiver<()>),
+    stream: Rc<Async<TcpStream>>,
+    /// Whether a command has come.
+    used: Cell<bool>,
     /// Why it ends once nothing is due on it.
     ending: Cell<Option<End>>,
     /// When something last came or went.
@@ -85,8 +89,10 @@
         self.bell.0.try_send(()).ok();
     }
 
+    /// Whether it stands between commands, with none waiting to be read.
     fn is_idle(&self) -> bool {
-        self.due.borrow().is_empty() && self.ending.get().is_none()
+        let quiet = || self.stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        self.due.borrow().is_empty() && self.ending.get().is_none() && quiet()
     }
 
     /// Fills the place of an answer, wherever in the order it stands.
@@ -141,7 +147,7 @@
     most: usize,
     most_held: usize,
     most_txns: usize,
-    /// How long a connection may take to come up, and so its first command.
+    /// How long a connection must have been idle to make room for another: as long as that may take to come up.
     settles: Duration,
     /// The longest that a client waits.
     patience: Duration,
@@ -208,11 +214,14 @@
         }
     }
 
-    /// Ends the longest idle connection, and waits a moment for one to be gone. One that has just come has its
-    /// first command on the way.
+    /// Ends the longest idle connection, and waits a moment for one to be gone. A new one has its first command on
+    /// the way, however long that takes: a client takes its end for the loss of that command.
     async fn make_room(&self) {
-        let quiet_since = self.hub.clock.now().saturating_sub(self.settles);
-        let idle = |counter: &&Rc<Counter>| counter.is_idle() && counter.since.get() <= quiet_since;
+        let now = self.hub.clock.now();
+        let idle = |counter: &&Rc<Counter>| {
+            let rest = if counter.used.get() { self.settles } else { self.patience };
+            counter.since.get() + rest <= now && counter.is_idle()
+        };
         let longest = self.open.borrow().values().filter(idle).min_by_key(|c| c.since.get()).cloned();
         if let Some(counter) = longest {
             counter.end(End::Crowded);
@@ -230,7 +239,8 @@
         Timer::after(STILL_COMING).await;
         self.stopping.set(true);
         while !self.open.borrow().is_empty() && self.hub.clock.now() < last {
-            self.open.borrow().values().for_each(|counter| counter.end(End::Stopping));
+            let idle = self.open.borrow().values().filter(|c| c.is_idle()).cloned().collect::<Vec<_>>();
+            idle.iter().for_each(|counter| counter.end(End::Stopping));
             let moment = async {
                 Timer::after(STILL_COMING / 20).await;
             };
@@ -244,10 +254,11 @@
         stream.get_ref().set_nodelay(true).ok();
         let who = stream.get_ref().peer_addr().map_or_else(|_| "unknown".into(), |at| at.to_string());
         let stream = Rc::new(stream);
-        let (due, first, ending) = Default::default();
+        let (due, first, used, ending) = Default::default();
         let since = Cell::new(self.hub.clock.now());
         let bell = async_channel::bounded(1);
-        let counter = Rc::new(Counter { due, first, bell, ending, since, held: self.held.clone() });
+        let (held, to) = (self.held.clone(), stream.clone());
+        let counter = Rc::new(Counter { due, first, bell, stream: to, used, ending, since, held });
         self.open.borrow_mut().insert(serial, counter.clone());
         let answers = async {
             let mut out = Ring::new(resp::MESSAGE);
@@ -281,8 +292,8 @@
         pin!(commands);
         loop {
             match commands.next().await {
-                Some(Ok(command)) => {
-                    if let Err(why) = self.command(command, counter) {
+                Some(Ok((came, command))) => {
+                    if let Err(why) = self.command(self.hub.clock.at(came), command, counter) {
                         count(Count::CommandsRefused);
                         counter.say(&format!("-ERR {why}"));
                     }
@@ -301,9 +312,9 @@
         }
     }
 
-    fn command(&self, command: Vec<Vec<u8>>, counter: &Rc<Counter>) -> Result<(), String> {
-        let arrived = self.hub.clock.now();
+    fn command(&self, arrived: Duration, command: Vec<Vec<u8>>, counter: &Rc<Counter>) -> Result<(), String> {
         counter.since.set(arrived);
+        counter.used.set(true);
         let writes = match command[0].to_ascii_uppercase().as_slice() {
             b"PING" => {
                 if !self.appliances.is_any_ready() {
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -316,18 +316,18 @@
         if let Err(end) = within(self.connect_within, ask.flush(&stream)).await {
             return end;
         }
-        let lists = items(stream, Intake::new(Lines(Answer::new(self.most)), self.most, QUIET * 3));
+        let lists = items(stream, Intake::new(Lines(Answer::new(self.most)), self.most, QUIET * 2));
         pin!(lists);
         loop {
             let next = async { lists.next().await.unwrap_or(Err(End::Closed)) };
-            match within(QUIET * 3, next).await {
-                Ok(None) => {}
-                Ok(Some(list)) if self.told(&list, false).is_some() => {
+            match within(QUIET * 2, next).await {
+                Ok((_, None)) => {}
+                Ok((_, Some(list))) if self.told(&list, false).is_some() => {
                     if once {
                         return End::Closed;
                     }
                 }
-                Ok(Some(_)) => {
+                Ok(_) => {
                     // The whole list next time: what was missed here cannot be known.
                     self.version.set(0);
                     return End::Malformed;
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -38,7 +38,11 @@
     }
 
     pub fn now(&self) -> Duration {
-        self.before + self.started.elapsed()
+        self.at(Instant::now())
+    }
+
+    pub fn at(&self, moment: Instant) -> Duration {
+        self.before + moment.saturating_duration_since(self.started)
     }
 
     /// Waits until then.
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -15,6 +15,7 @@
 pub struct Peers {
     hub: Rc<Hub>,
     socket: Async<UdpSocket>,
+    own: SocketAddr,
     peers: Vec<SocketAddr>,
     all: Option<SocketAddr>,
 }
@@ -25,7 +26,7 @@
     ) -> Result<Rc<Self>, String> {
         let socket =
             Async::<UdpSocket>::bind(listen).map_err(|fault| format!("peer_listen {listen}: {fault}"))?;
-        Ok(Rc::new(Peers { hub, socket, peers, all }))
+        Ok(Rc::new(Peers { hub, socket, own: listen, peers, all }))
     }
 
     /// To one peer, or to all of them.
@@ -48,6 +49,8 @@
         loop {
             match self.socket.recv_from(&mut octets).await {
                 Ok((len, from)) => match self.peers.iter().position(|peer| *peer == from) {
+                    // One to all may come back to its sender.
+                    Some(peer) if self.peers[peer] == self.own => {}
                     Some(peer) if (1..=MOST).contains(&len) => {
                         count(Count::PeersIn);
                         let octets = octets[..len].to_vec();
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -104,7 +104,7 @@
         pin!(told);
         loop {
             let next = async { told.next().await.unwrap_or(Err(End::Closed)) };
-            let message = within(PING * 3, next).await?;
+            let (_, message) = within(PING * 3, next).await?;
             heard.set(true);
             match (message.get("method").and_then(Json::text), message.get("params")) {
                 (Some("ROLLOUT"), Some(state)) => drop(self.told(state)),
--- a/crates/agent/src/ring.rs
+++ b/crates/agent/src/ring.rs
@@ -5,7 +5,7 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::stream::{self, Stream};
@@ -86,11 +86,15 @@
     parser: P,
     /// In which time an item must be whole, once begun.
     patience: Duration,
+    /// When bytes last came, and when those that began the present item did.
+    came: Instant,
+    begun: Instant,
 }
 
 impl<P: Parse> Intake<P> {
     pub fn new(parser: P, most: usize, patience: Duration) -> Self {
-        Intake { ring: Ring::new(most), parser, patience }
+        let now = Instant::now();
+        Intake { ring: Ring::new(most), parser, patience, came: now, begun: now }
     }
 
     /// The next item; nothing at the end of the stream.
@@ -104,6 +108,9 @@
     async fn whole(&mut self, from: &Async<TcpStream>) -> Result<Option<P::Item>, End> {
         loop {
             while !self.ring.is_empty() {
+                if self.parser.is_between() {
+                    self.begun = self.came;
+                }
                 let (taken, item) = self.parser.take(self.ring.bytes.as_slices().0)?;
                 self.ring.bytes.drain(..taken);
                 if let Some(item) = item {
@@ -114,6 +121,7 @@
             if from.read_with(|from| self.ring.fill(from)).await.map_err(End::from)? == 0 {
                 return Ok(None);
             }
+            self.came = Instant::now();
         }
     }
 
@@ -126,13 +134,13 @@
     }
 }
 
-/// A connection as a stream of items.
+/// A connection as a stream of items, each with the time at which its first byte was read.
 pub fn items<P: Parse>(
     from: Rc<Async<TcpStream>>, intake: Intake<P>,
-) -> impl Stream<Item = Result<P::Item, End>> {
+) -> impl Stream<Item = Result<(Instant, P::Item), End>> {
     stream::try_unfold((from, intake), async |(from, mut intake)| {
         let item = intake.next(&from).await?;
-        Ok(item.map(|item| (item, (from, intake))))
+        Ok(item.map(|item| ((intake.begun, item), (from, intake))))
     })
 }
 
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -7,7 +7,7 @@
 //!     client N SENDS               a command on client N's connection, which opens first; d stands for d=30000
 //!     client N raw BYTES           bytes as they are, with \r \n \xHH and <COUNT*BYTES>
 //!     client N reads ANSWER        one whole answer: $VALUE, -TEXT or +TEXT, to where it ends in *
-//!     client N leaves / ended      it closes its connection / finds it closed
+//!     client N opens / leaves / ended   it opens its connection / closes it / finds it closed
 //!     NAME gets COMMAND            the next command that any connection brings it; a `*` stands for anything
 //!     NAME answers BYTES           on the connection of that command
 //!     NAME turns ID                goes back to the connection that brought this one
@@ -398,6 +398,7 @@
                 let got = resp(conn).unwrap_or_else(|| "the end".into());
                 assert!(fits(rest, &got), "client {name} reads {got:.200}");
             }
+            "opens" => {}
             "leaves" => drop(self.clients.remove(name)),
             "ended" => {
                 let mut rest = [0; 1];
