--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -67,8 +67,12 @@
     /// Whether it was let in only to be told that there is no room, and whether a command has come.
     brief: bool,
     used: Cell<bool>,
-    /// Why it ends once nothing is due on it.
+    /// Whether something was read that is no whole command yet.
+    amid: Rc<Cell<bool>>,
+    /// Why it ends once it stands between commands.
     ending: Cell<Option<End>>,
+    /// Whether it ends even if more has come, since that cannot be read.
+    deaf: Cell<bool>,
     /// When something last came or went.
     since: Cell<Duration>,
     held: Held,
@@ -90,10 +94,15 @@
         self.bell.0.try_send(()).ok();
     }
 
-    /// Whether it stands between commands, with none waiting to be read.
-    fn is_idle(&self) -> bool {
+    /// Whether it stands between commands, with none read in part or waiting to be read. To end it at another time
+    /// would lose a command.
+    fn is_between(&self) -> bool {
         let quiet = || self.stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-        self.due.borrow().is_empty() && self.ending.get().is_none() && quiet()
+        self.due.borrow().is_empty() && (self.deaf.get() || !self.amid.get() && quiet())
+    }
+
+    fn is_idle(&self) -> bool {
+        self.ending.get().is_none() && self.is_between()
     }
 
     /// Fills the place of an answer, wherever in the order it stands.
@@ -124,7 +133,7 @@
             if let Some(ready) = self.take() {
                 return Ok(ready);
             }
-            if let Some(end) = self.ending.get().filter(|_| self.due.borrow().is_empty()) {
+            if let Some(end) = self.ending.get().filter(|_| self.is_between()) {
                 return Err(end);
             }
             self.bell.1.recv().await.ok();
@@ -202,7 +211,8 @@
                 Some(Ok(stream)) => {
                     count(Count::ClientsIn);
                     serial += 1;
-                    let brief = self.open.borrow().len() >= self.most - self.most / 4 && !self.make_room();
+                    let brief =
+                        self.open.borrow().len() >= self.most - self.most.div_ceil(4) && !self.make_room();
                     self.hub.spawn(self.clone().serve(serial, stream, brief));
                     future::yield_now().await;
                 }
@@ -259,11 +269,24 @@
         stream.get_ref().set_nodelay(true).ok();
         let who = stream.get_ref().peer_addr().map_or_else(|_| "unknown".into(), |at| at.to_string());
         let stream = Rc::new(stream);
-        let (due, first, used, ending) = Default::default();
+        let intake = Intake::new(resp::Commands::default(), resp::MESSAGE, self.patience);
+        let (due, first, used, ending, deaf) = Default::default();
         let since = Cell::new(self.hub.clock.now());
         let bell = async_channel::bounded(1);
         let (held, to) = (self.held.clone(), stream.clone());
-        let counter = Rc::new(Counter { due, first, bell, stream: to, brief, used, ending, since, held });
+        let counter = Rc::new(Counter {
+            due,
+            first,
+            bell,
+            stream: to,
+            brief,
+            used,
+            amid: intake.amid.clone(),
+            ending,
+            deaf,
+            since,
+            held,
+        });
         self.open.borrow_mut().insert(serial, counter.clone());
         let answers = async {
             let mut out = Ring::new(resp::MESSAGE);
@@ -279,7 +302,7 @@
                 counter.since.set(self.hub.clock.now());
             }
         };
-        let end = self.read(&stream, &counter).or(answers).await;
+        let end = self.read(stream.clone(), intake, &counter).or(answers).await;
         for due in counter.due.take() {
             if let Due::Owed(id) = due {
                 self.hub.client_left(id);
@@ -291,9 +314,10 @@
         say!("client {who} ended: {end}");
     }
 
-    async fn read(&self, stream: &Rc<Async<TcpStream>>, counter: &Rc<Counter>) -> End {
-        let intake = Intake::new(resp::Commands::default(), resp::MESSAGE, self.patience);
-        let commands = items(stream.clone(), intake);
+    async fn read(
+        &self, stream: Rc<Async<TcpStream>>, intake: Intake<resp::Commands>, counter: &Rc<Counter>,
+    ) -> End {
+        let commands = items(stream, intake);
         pin!(commands);
         loop {
             match commands.next().await {
@@ -311,6 +335,7 @@
                 Some(Err(end @ (End::Malformed | End::TooLong))) => {
                     count(Count::CommandsRefused);
                     counter.say(&format!("-ERR protocol error: {end}"));
+                    counter.deaf.set(true);
                     counter.end(end);
                     return future::pending().await;
                 }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -55,7 +55,7 @@
     let hub = hub::Hub::new(settings.span("rules.answer-slack")?);
     // What the agent itself needs comes first; clients, and links to appliances, have half of the rest each.
     let part = told.sockets.saturating_sub(OWN) / 2;
-    if part == 0 {
+    if part < 2 {
         return Err(unusable("limits.sockets"));
     }
     let appliances = appliances::Appliances::new(hub.clone(), settings, part)?;
--- a/crates/agent/src/ring.rs
+++ b/crates/agent/src/ring.rs
@@ -1,5 +1,6 @@
 //! Owns the bytes between a socket and a parser: one ring a direction a connection, small at first, growing to a
 //! bound, given back when idle. It knows no protocol, and must never hold more than its bound nor lose a byte.
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::io::{self, Read, Write};
@@ -89,12 +90,14 @@
     /// When bytes last came, and when those that began the present item did.
     came: Instant,
     begun: Instant,
+    /// Whether something was read that has not become an item yet; seen by others too.
+    pub amid: Rc<Cell<bool>>,
 }
 
 impl<P: Parse> Intake<P> {
     pub fn new(parser: P, most: usize, patience: Duration) -> Self {
         let now = Instant::now();
-        Intake { ring: Ring::new(most), parser, patience, came: now, begun: now }
+        Intake { ring: Ring::new(most), parser, patience, came: now, begun: now, amid: Rc::default() }
     }
 
     /// The next item; nothing at the end of the stream.
@@ -114,6 +117,7 @@
                 let (taken, item) = self.parser.take(self.ring.bytes.as_slices().0)?;
                 self.ring.bytes.drain(..taken);
                 if let Some(item) = item {
+                    self.amid.set(!self.ring.is_empty());
                     return Ok(Some(item));
                 }
             }
@@ -122,6 +126,7 @@
                 return Ok(None);
             }
             self.came = Instant::now();
+            self.amid.set(true);
         }
     }
 
