Connections that find no room stay until another needs their place; the end is at once

Checked: every client connection in the log ended as crowded or closed, none as malformed, silent or reset, and all txns that the hub took were answered. What is left is a command that comes between the last look at the socket and its close: a log line and the book-keeping lay between the two, and each connection without room was ended right after its answer, when its client was about to use it again (clients.rs, serve and read).

Now such a connection stays and is told so for each txn until there is room again, ends only when another waits for its place, and the socket closes directly after the last look.

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -63,9 +63,10 @@
     /// The number of the first of them.
     first: Cell<u64>,
     bell: (Sender<()>, Receiver<()>),
-    stream: Rc<Async<TcpStream>>,
+    /// None once it has ended.
+    stream: RefCell<Option<Rc<Async<TcpStream>>>>,
     /// Whether it was let in only to be told that there is no room, and whether a command has come.
-    brief: bool,
+    brief: Cell<bool>,
     used: Cell<bool>,
     /// Whether something was read that is no whole command yet.
     amid: Rc<Cell<bool>>,
@@ -97,7 +98,10 @@
     /// Whether it stands between commands, with none read in part or waiting to be read. To end it at another time
     /// would lose a command.
     fn is_between(&self) -> bool {
-        let quiet = || self.stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        let quiet = |stream: &Rc<Async<TcpStream>>| {
+            stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        };
+        let quiet = || self.stream.borrow().as_ref().is_some_and(quiet);
         self.due.borrow().is_empty() && (self.deaf.get() || !self.amid.get() && quiet())
     }
 
@@ -211,8 +215,7 @@
                 Some(Ok(stream)) => {
                     count(Count::ClientsIn);
                     serial += 1;
-                    let brief =
-                        self.open.borrow().len() >= self.most - self.most.div_ceil(4) && !self.make_room();
+                    let brief = !self.has_room() && !self.make_room();
                     self.hub.spawn(self.clone().serve(serial, stream, brief));
                     future::yield_now().await;
                 }
@@ -224,18 +227,41 @@
                 None => {}
             }
             while self.open.borrow().len() >= self.most && !self.stopping.get() {
-                self.make_room();
-                self.moment().await;
+                // None ends before another waits for its place.
+                let waiting = async { listener.readable().await.is_ok() };
+                let stopped = async {
+                    Timer::after(STILL_COMING / 4).await;
+                    false
+                };
+                if waiting.or(stopped).await && self.open.borrow().len() >= self.most {
+                    self.make_room();
+                    self.moment().await;
+                }
             }
         }
     }
 
+    /// So many connections are for txns.
+    fn has_room(&self) -> bool {
+        let many = self.open.borrow().values().filter(|counter| !counter.brief.get()).count();
+        many < self.most - self.most.div_ceil(4)
+    }
+
+    /// Whether there is still no room for what a connection brings that found none.
+    fn is_brief(&self, counter: &Counter) -> bool {
+        counter.brief.set(counter.brief.get() && !self.has_room());
+        counter.brief.get()
+    }
+
     /// Ends the longest idle connection, if there is one. A new one has its first command on the way, however long
-    /// that takes: a client takes its end for the loss of that command.
+    /// that takes: a client takes its end for the loss of that command. Where even those without room are all, any
+    /// that stands between commands may go.
     fn make_room(&self) -> bool {
         let now = self.hub.clock.now();
+        let all = self.open.borrow().len() >= self.most;
         let idle = |counter: &&Rc<Counter>| {
-            let rest = if counter.used.get() { self.settles } else { self.patience };
+            let settles = if all { Duration::ZERO } else { self.settles };
+            let rest = if counter.used.get() { settles } else { self.patience };
             counter.since.get() + rest <= now && counter.is_idle()
         };
         let longest = self.open.borrow().values().filter(idle).min_by_key(|c| c.since.get()).cloned();
@@ -273,7 +299,8 @@
         let (due, first, used, ending, deaf) = Default::default();
         let since = Cell::new(self.hub.clock.now());
         let bell = async_channel::bounded(1);
-        let (held, to) = (self.held.clone(), stream.clone());
+        let (held, brief) = (self.held.clone(), Cell::new(brief));
+        let to = RefCell::new(Some(stream.clone()));
         let counter = Rc::new(Counter {
             due,
             first,
@@ -303,6 +330,9 @@
             }
         };
         let end = self.read(stream.clone(), intake, &counter).or(answers).await;
+        // At once: what comes between the last look and the end is lost, or comes again.
+        drop(stream);
+        counter.stream.take();
         for due in counter.due.take() {
             if let Due::Owed(id) = due {
                 self.hub.client_left(id);
@@ -326,9 +356,6 @@
                         count(Count::CommandsRefused);
                         counter.say(&format!("-ERR {why}"));
                     }
-                    if counter.brief {
-                        counter.end(End::Crowded);
-                    }
                     // One that pipelines without end leaves others their turn.
                     future::yield_now().await;
                 }
@@ -389,7 +416,7 @@
         };
         let size = command.iter().map(|part| part.len() + size_of_val(part)).sum::<usize>();
         let full = self.hub.in_hand() >= self.most_txns || self.held.0.get() + size > self.most_held;
-        if full || counter.brief {
+        if full || self.is_brief(counter) {
             count(Count::TurnedAway);
             counter.say("-BUSY");
             return Ok(());
