Agent scenarios no longer hang on how fast the machine is

Read again for what a slow machine would change: an answer to a vote had 0.4 s, a txn's wait was expected within 0.1 s of its whole, the one that came after SIGTERM had 0.4 s to connect, and a link had to find a descriptor beside idle clients.

--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -18,7 +18,8 @@
 //!     news BUILD STAGE STATE CAP   the platform tells;  news raw BYTES: as it is;  news asked: a new listener came
 //!     vote gets TEXT / answers BYTES / ends   the next call for a vote
 //!     peer sends BYTES / stranger sends BYTES
-//!     crowd N / files N            so many clients connect and stay / the agent may open so many files
+//!     crowd N / disperse           so many clients connect and stay / all of them leave
+//!     files N                      the agent may open so many files
 //!     signal NAME / counter NAME N / ends CODE / log TEXT
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -476,6 +477,7 @@
                     self.crowd.push(conn);
                 }
             }
+            ("disperse", _) => self.crowd.clear(),
             ("files", _) => self.files = format!("ulimit -n {rest}; "),
             ("roster", ("raw", text)) => self.discovery.write(&bytes(text)),
             ("roster", ("asked", text)) => {
