--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -13,7 +13,8 @@
 //!     NAME turns ID                goes back to the connection that brought this one
 //!     NAME ends / vanishes / waits that connection breaks / it stops listening / no command is there
 //!     NAME links N                 so many connections have come so far
-//!     roster NAME:STATE[:BUILD] .. discovery tells changes;  roster raw BYTES: a chunk as it is
+//!     roster NAME[@WHERE]:STATE[:BUILD] ..  discovery tells changes, one may be where another listens
+//!     roster raw BYTES: a chunk as it is
 //!     roster asked TEXT / drops    the next call's path holds TEXT / the watch breaks
 //!     news BUILD STAGE STATE CAP   the platform tells;  news raw BYTES: as it is;  news asked: a new listener came
 //!     vote gets TEXT / answers BYTES / ends   the next call for a vote
@@ -378,7 +379,8 @@
             .map(|one| {
                 let mut parts = one.split(':');
                 let (name, state) = (parts.next().expect("a name"), parts.next().expect("a state"));
-                entry(name, self.appliances[name].at, state, parts.next().unwrap_or("1"))
+                let (name, at) = name.split_once('@').unwrap_or((name, name));
+                entry(name, self.appliances[at].at, state, parts.next().unwrap_or("1"))
             })
             .collect();
         let entries = entries.join(",");
