--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -9,14 +9,14 @@
 
 use async_channel::Sender;
 use async_io::{Async, Timer};
-use futures_lite::{FutureExt, StreamExt, future};
+use futures_lite::{FutureExt, StreamExt};
 use lilacgate::port::*;
 use lilacgate_start::Paths;
 
 use crate::hub::{Clock, Hub, Wording};
 use crate::log::{Count, End, count, say};
 use crate::resp::{self, Resp};
-use crate::ring::{Intake, Ring, connect};
+use crate::ring::{Intake, Ring, connect, within};
 
 /// An appliance's address, and the links to it that carry nothing now.
 struct Home {
@@ -86,7 +86,7 @@
             hub,
             homes,
             out,
-            gauges: told.names("feedback.names")?.into_iter().map(str::to_owned).collect(),
+            gauges: told.names("feedback.names")?,
             connect_within: told.period("limits.connect-timeout")?,
             patience: told.longest_expiry()?,
             // Sooner than the appliance would: what is written to a link that it closes may have run.
@@ -305,11 +305,8 @@
                     _ => Err(Ending::Failed),
                 }
             };
-            let late = async {
-                Timer::after(me.connect_within).await;
-                Err(Ending::TimedOut)
-            };
-            let answer = future::or(ask, late).await;
+            let answer = within(me.connect_within, async { Ok(ask.await) }).await;
+            let answer = answer.unwrap_or(Err(Ending::TimedOut));
             let took = me.clock().now().saturating_sub(began);
             let ending = answer.as_ref().map_or_else(|ending| *ending, |_| Ending::Served);
             me.tell_load(to, answer.ok().flatten());
--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -6,7 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -63,8 +63,7 @@
     /// The number of the first of them.
     first: Cell<u64>,
     bell: (Sender<()>, Receiver<()>),
-    /// None once it has ended.
-    stream: RefCell<Option<Rc<Async<TcpStream>>>>,
+    stream: Weak<Async<TcpStream>>,
     /// Whether it was let in only to be told that there is no room, and whether a command has come.
     brief: Cell<bool>,
     used: Cell<bool>,
@@ -72,8 +71,6 @@
     amid: Rc<Cell<bool>>,
     /// Why it ends once it stands between commands.
     ending: Cell<Option<End>>,
-    /// Whether it ends even if more has come, since that cannot be read.
-    deaf: Cell<bool>,
     /// When something last came or went.
     since: Cell<Duration>,
     held: Held,
@@ -91,18 +88,18 @@
     }
 
     fn end(&self, why: End) {
-        self.ending.set(self.ending.get().or(Some(why)));
+        self.ending.set(Some(why));
         self.bell.0.try_send(()).ok();
     }
 
     /// Whether it stands between commands, with none read in part or waiting to be read. To end it at another time
-    /// would lose a command.
+    /// would lose a command; but what follows one that cannot be read cannot be read either.
     fn is_between(&self) -> bool {
-        let quiet = |stream: &Rc<Async<TcpStream>>| {
+        let quiet = |stream: Rc<Async<TcpStream>>| {
             stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
         };
-        let quiet = || self.stream.borrow().as_ref().is_some_and(quiet);
-        self.due.borrow().is_empty() && (self.deaf.get() || !self.amid.get() && quiet())
+        let deaf = matches!(self.ending.get(), Some(End::Malformed | End::TooLong));
+        self.due.borrow().is_empty() && (deaf || !self.amid.get() && self.stream.upgrade().is_some_and(quiet))
     }
 
     fn is_idle(&self) -> bool {
@@ -207,33 +204,25 @@
         let incoming = listener.incoming();
         pin!(incoming);
         while !self.stopping.get() {
-            let stopped = async {
-                Timer::after(STILL_COMING / 4).await;
-                None
-            };
-            match incoming.next().or(stopped).await {
-                Some(Ok(stream)) => {
+            match within(STILL_COMING / 4, async { Ok(incoming.next().await) }).await {
+                Ok(Some(Ok(stream))) => {
                     count(Count::ClientsIn);
                     serial += 1;
                     let brief = !self.has_room() && !self.make_room();
                     self.hub.spawn(self.clone().serve(serial, stream, brief));
                     future::yield_now().await;
                 }
-                Some(Err(fault)) => {
+                Ok(Some(Err(fault))) => {
                     say!("no client accepted: {}", End::from(fault));
                     self.make_room();
                     self.moment().await;
                 }
-                None => {}
+                _ => {}
             }
             while self.open.borrow().len() >= self.most && !self.stopping.get() {
                 // None ends before another waits for its place.
-                let waiting = async { listener.readable().await.is_ok() };
-                let stopped = async {
-                    Timer::after(STILL_COMING / 4).await;
-                    false
-                };
-                if waiting.or(stopped).await && self.open.borrow().len() >= self.most {
+                let waiting = async { listener.readable().await.map_err(End::from) };
+                if within(STILL_COMING / 4, waiting).await.is_ok() && self.open.borrow().len() >= self.most {
                     self.make_room();
                     self.moment().await;
                 }
@@ -270,10 +259,8 @@
 
     /// Waits a moment for a connection to be gone.
     async fn moment(&self) {
-        let moment = async {
-            Timer::after(STILL_COMING / 20).await;
-        };
-        async { self.ended.1.recv().await.unwrap_or_default() }.or(moment).await;
+        let gone = async { self.ended.1.recv().await.map_err(|_| End::Closed) };
+        within(STILL_COMING / 20, gone).await.ok();
     }
 
     /// Takes what still comes, answers all that was taken, and ends the connections between requests.
@@ -296,21 +283,19 @@
         let who = stream.get_ref().peer_addr().map_or_else(|_| "unknown".into(), |at| at.to_string());
         let stream = Rc::new(stream);
         let intake = Intake::new(resp::Commands::default(), resp::MESSAGE, self.patience);
-        let (due, first, used, ending, deaf) = Default::default();
+        let (due, first, used, ending) = Default::default();
         let since = Cell::new(self.hub.clock.now());
         let bell = async_channel::bounded(1);
         let (held, brief) = (self.held.clone(), Cell::new(brief));
-        let to = RefCell::new(Some(stream.clone()));
         let counter = Rc::new(Counter {
             due,
             first,
             bell,
-            stream: to,
+            stream: Rc::downgrade(&stream),
             brief,
             used,
             amid: intake.amid.clone(),
             ending,
-            deaf,
             since,
             held,
         });
@@ -332,7 +317,6 @@
         let end = self.read(stream.clone(), intake, &counter).or(answers).await;
         // At once: what comes between the last look and the end is lost, or comes again.
         drop(stream);
-        counter.stream.take();
         for due in counter.due.take() {
             if let Due::Owed(id) = due {
                 self.hub.client_left(id);
@@ -362,7 +346,6 @@
                 Some(Err(end @ (End::Malformed | End::TooLong))) => {
                     count(Count::CommandsRefused);
                     counter.say(&format!("-ERR protocol error: {end}"));
-                    counter.deaf.set(true);
                     counter.end(end);
                     return future::pending().await;
                 }
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -178,16 +178,15 @@
     pub fn new(
         hub: Rc<Hub>, appliances: Rc<Appliances>, at: SocketAddr, told: &Paths, most: usize,
     ) -> Result<Rc<Self>, String> {
-        let names = |key| Ok::<_, String>(told.names(key)?.into_iter().map(str::to_owned).collect());
         let (version, numbers) = Default::default();
         Ok(Rc::new(Discovery {
             hub,
             appliances,
             at,
-            zones: names("zones")?,
-            models: names("shapes")?,
+            zones: told.names("zones")?,
+            models: told.names("shapes")?,
             connect_within: told.period("limits.connect-timeout")?,
-            asked: told.word("membership-mode", &[("push", false), ("ask", true)])?,
+            asked: told.asks()?,
             most,
             version,
             numbers,
@@ -267,9 +266,9 @@
     pub fn fetch(self: &Rc<Self>) {
         let me = self.clone();
         self.hub.spawn(async move {
-            let end = me.call("/catalog/members".into(), true).await;
-            if end != End::Closed {
-                me.failed(end);
+            match me.call("/catalog/members".into(), true).await {
+                Ok(()) => say!("discovery {} ended: {}", me.at, End::Closed),
+                Err(end) => me.failed(end),
             }
         });
     }
@@ -293,10 +292,11 @@
             let call = self.call(format!("/catalog/members?follow=1&since={before}"), false);
             let off = async {
                 while self.wish.1.recv().await.unwrap_or(true) {}
-                End::GivenUp
+                Err(End::GivenUp)
             };
-            let end = call.or(off).await;
-            self.failed(end);
+            if let Err(end) = call.or(off).await {
+                self.failed(end);
+            }
             on = !self.asked;
             pause = if self.version.get() == before { (pause * 2).min(QUIET) } else { QUIET / 40 };
             if on {
@@ -306,36 +306,26 @@
     }
 
     /// One call, up to its end, or to its first message.
-    async fn call(&self, path: String, once: bool) -> End {
-        let stream = match connect(self.at, self.connect_within).await {
-            Ok(stream) => Rc::new(stream),
-            Err(end) => return end,
-        };
+    async fn call(&self, path: String, once: bool) -> Result<(), End> {
+        let stream = Rc::new(connect(self.at, self.connect_within).await?);
         let mut ask = Ring::new(HEAD_LINE);
         ask.put(
             format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.at)
                 .as_bytes(),
         );
-        if let Err(end) = within(self.connect_within, ask.flush(&stream)).await {
-            return end;
-        }
+        within(self.connect_within, ask.flush(&stream)).await?;
         let lists = items(stream, Intake::new(Lines(Answer::new(self.most)), self.most, QUIET * 2));
         pin!(lists);
         loop {
             let next = async { lists.next().await.unwrap_or(Err(End::Closed)) };
-            match within(QUIET * 2, next).await {
-                Ok((_, None)) => {}
-                Ok((_, Some(list))) if self.told(&list, false).is_some() => {
-                    if once {
-                        return End::Closed;
-                    }
-                }
-                Ok(_) => {
-                    // The whole list next time: what was missed here cannot be known.
-                    self.version.set(0);
-                    return End::Malformed;
-                }
-                Err(end) => return end,
+            let (_, Some(list)) = within(QUIET * 2, next).await? else { continue };
+            if self.told(&list, false).is_none() {
+                // The whole list next time: what was missed here cannot be known.
+                self.version.set(0);
+                return Err(End::Malformed);
+            }
+            if once {
+                return Ok(());
             }
         }
     }
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -124,10 +124,14 @@
         self.owed.borrow().len()
     }
 
+    /// The way to its client of an answer that is still owed; from then on it is not.
+    fn claim(&self, id: TxnId) -> Option<Box<dyn FnOnce(Answer)>> {
+        self.owed.borrow_mut().get_mut(&id)?.answer.take()
+    }
+
     /// Gives the final answer, if it is still owed.
     fn answer(&self, id: TxnId, answer: Answer) {
-        let owed = self.owed.borrow_mut().get_mut(&id).and_then(|owed| owed.answer.take());
-        if let Some(give) = owed {
+        if let Some(give) = self.claim(id) {
             count(match answer {
                 Answer::Settled(_) => Count::Settled,
                 Answer::Declined(_) => Count::Declined,
@@ -142,8 +146,7 @@
     }
 
     pub fn client_left(self: &Rc<Self>, id: TxnId) {
-        let owed = self.owed.borrow_mut().get_mut(&id).and_then(|owed| owed.answer.take());
-        if owed.is_some() {
+        if self.claim(id).is_some() {
             count(Count::ClientsLeft);
             let hub = self.clone();
             self.tell(move |ear| {
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -2,6 +2,7 @@
 //! lines. Other platforms' protocols will stand beside it, through the same calls of the hub. It must never send a
 //! vote twice by itself, nor report one as not carried out that may have been.
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -89,14 +90,14 @@
         let mut pause = PING / 20;
         loop {
             let heard = Cell::new(false);
-            let end = self.listen(&heard).await.unwrap_or_else(|end| end);
+            let Err(end) = self.listen(&heard).await;
             say!("platform {} ended: {end}", self.at);
             pause = if heard.get() { PING / 20 } else { (pause * 2).min(PING) };
             Timer::after(pause).await;
         }
     }
 
-    async fn listen(&self, heard: &Cell<bool>) -> Result<End, End> {
+    async fn listen(&self, heard: &Cell<bool>) -> Result<Infallible, End> {
         let stream = Rc::new(connect(self.at, self.connect_within).await?);
         let (_, mut ask) = self.wording("listen", "");
         within(self.connect_within, ask.flush(&stream)).await?;
@@ -155,7 +156,13 @@
     /// Asks on the kept connection, if it still stands, or on a new one.
     async fn ask(&self, params: &str, written: &Cell<bool>) -> Result<Json, End> {
         let kept = self.kept.take();
-        let kept = kept.and_then(|mut line| line.intake.is_quiet(&line.stream).then_some(line));
+        let kept = kept.and_then(|mut line| {
+            let quiet = line.intake.is_quiet(&line.stream);
+            if !quiet {
+                say!("platform {}: a vote's connection ended: {}", self.at, End::Stale);
+            }
+            quiet.then_some(line)
+        });
         let mut line = match kept {
             Some(line) => line,
             None => Line {
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -34,6 +34,9 @@
 
 use rstest::rstest;
 
+mod notation;
+use notation::bytes;
+
 /// Longer than any wait of the agent's in these scenarios; only a failing one takes so long.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -55,35 +58,6 @@
 "rules":{"answer-slack":20000,"cold-from":0.34,"fall-multiple":2.5,"overload-for":1000000,"ramp-time":4400000,
 "stop-sending-within":250000},"shapes":["m"],"tenants":[],"tick":5000,"zone":0,"zones":["x"]}}"#;
 
-fn bytes(text: &str) -> Vec<u8> {
-    let mut out = Vec::new();
-    let mut rest = text;
-    while let Some(c) = rest.chars().next() {
-        let repeat = rest.strip_prefix('<').and_then(|r| r.split_once('>')).and_then(|(inner, after)| {
-            let (count, what) = inner.split_once('*')?;
-            Some((count.parse::<usize>().ok()?, what, after))
-        });
-        if let Some((count, what, after)) = repeat {
-            out.extend(bytes(what).repeat(count));
-            rest = after;
-        } else if let Some(after) = rest.strip_prefix("\\x") {
-            out.push(u8::from_str_radix(&after[..2], 16).expect("two digits"));
-            rest = &after[2..];
-        } else if let Some(after) = rest.strip_prefix('\\') {
-            out.push(match after.as_bytes()[0] {
-                b'r' => b'\r',
-                b'n' => b'\n',
-                other => other,
-            });
-            rest = &after[1..];
-        } else {
-            out.extend(c.to_string().as_bytes());
-            rest = &rest[c.len_utf8()..];
-        }
-    }
-    out
-}
-
 /// The part of a text before a `*` must begin the other; without one they are equal.
 fn fits(want: &str, got: &str) -> bool {
     match want.split_once('*') {
--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside/mod.rs
@@ -18,28 +18,9 @@
 use crate::resp::{self, Resp};
 use crate::ring::Parse;
 
-fn bytes(text: &str) -> Vec<u8> {
-    let (mut out, mut rest) = (Vec::new(), text.as_bytes());
-    while let [first, after @ ..] = rest {
-        (rest, _) = match (first, after) {
-            (b'<', after) if after.first().is_some_and(u8::is_ascii_digit) => {
-                let inner = text[text.len() - after.len()..].split('>').next().unwrap_or_default();
-                let (count, what) = inner.split_once('*').expect("a count");
-                out.extend(bytes(what).repeat(count.parse().expect("a count")));
-                (&after[inner.len() + 1..], ())
-            }
-            (b'\\', [b'x', a, b, after @ ..]) => {
-                let digit = |d: &u8| char::from(*d).to_digit(16).expect("a digit") as u8;
-                (after, out.push(digit(a) * 16 + digit(b)))
-            }
-            (b'\\', [b'r', after @ ..]) => (after, out.push(b'\r')),
-            (b'\\', [b'n', after @ ..]) => (after, out.push(b'\n')),
-            (b'\\', [other, after @ ..]) => (after, out.push(*other)),
-            (other, after) => (after, out.push(*other)),
-        };
-    }
-    out
-}
+#[path = "../notation/mod.rs"]
+mod notation;
+use notation::bytes;
 
 /// What a parser finds in these pieces, as a text.
 fn found<P: Parse>(mut parser: P, pieces: &[&[u8]], show: &impl Fn(P::Item) -> String) -> String {
@@ -142,6 +123,29 @@
     fn wrong_answer(&mut self, _: ApplianceId, _: Product, _: Duration) {}
 }
 
+impl Ear {
+    fn until_ended(&mut self, hub: &Hub) -> Option<Ending> {
+        async_io::block_on(hub.run(async {
+            while self.ended.is_none() {
+                hub.hear(self);
+                futures_lite::future::yield_now().await;
+            }
+        }));
+        self.ended
+    }
+}
+
+/// So many links, and a stand-in that listens as appliance 1.
+fn linked(links: usize) -> (Rc<Hub>, Rc<Appliances>, TcpListener) {
+    let told = "feedback.names=lat_ms,util\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\n\
+        profiles.count=1\nprofiles.0.give-up=9000000";
+    let hub = Hub::new(Duration::ZERO);
+    let appliances = Appliances::new(hub.clone(), &Paths::from_lines(told), links).expect("links");
+    let post = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    appliances.place(ApplianceId(1), post.local_addr().expect("its address"), Mode::Ready);
+    (hub, appliances, post)
+}
+
 /// What waited for its link goes only if the owner of the queue says so; else it ends as unsent, with no byte out. A
 /// lack of links of its own, and an appliance without an address, are unsent too: they say nothing of the appliance.
 #[rstest]
@@ -152,12 +156,7 @@
 fn asked_before_the_first_byte(
     #[case] may_go: bool, #[case] links: usize, #[case] to: u32, #[case] want: Ending,
 ) {
-    let told = "feedback.names=\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\n\
-        profiles.count=1\nprofiles.0.give-up=9000000";
-    let hub = Hub::new(Duration::ZERO);
-    let appliances = Appliances::new(hub.clone(), &Paths::from_lines(told), links).expect("links");
-    let post = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    appliances.place(ApplianceId(1), post.local_addr().expect("its address"), Mode::Ready);
+    let (hub, appliances, post) = linked(links);
     let came = std::thread::spawn(move || {
         let mut conn = post.accept().expect("a link").0;
         let mut came = [0; 4];
@@ -169,13 +168,7 @@
     let words: Wording = Rc::new(|_| b"hello".to_vec());
     appliances.submit((TxnId(0), Leg(0)), ApplianceId(to), words, now, now + Duration::from_secs(9));
     let mut ear = Ear { may_go, ..Ear::default() };
-    async_io::block_on(hub.run(async {
-        while ear.ended.is_none() {
-            hub.hear(&mut ear);
-            futures_lite::future::yield_now().await;
-        }
-    }));
-    assert_eq!(ear.ended, Some(want));
+    assert_eq!(ear.until_ended(&hub), Some(want));
     if links > 0 && to == 1 {
         drop((hub, appliances));
         assert_eq!(came.join().expect("it ends") > 0, may_go);
@@ -190,12 +183,7 @@
 #[case::error("-NOPERM\r\n", Ending::Failed, &[])]
 #[case::wrong("*x\r\n", Ending::Broken, &[])]
 fn probes(#[case] answer: &'static str, #[case] want: Ending, #[case] gauges: &[f32]) {
-    let told = "feedback.names=lat_ms,util\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\n\
-        profiles.count=1\nprofiles.0.give-up=9000000";
-    let hub = Hub::new(Duration::ZERO);
-    let appliances = Appliances::new(hub.clone(), &Paths::from_lines(told), 9).expect("links");
-    let post = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    appliances.place(ApplianceId(1), post.local_addr().expect("its address"), Mode::Ready);
+    let (hub, appliances, post) = linked(9);
     std::thread::spawn(move || {
         let mut conn = post.accept().expect("a link").0;
         let mut asked = [0; 24];
@@ -206,13 +194,7 @@
     });
     appliances.probe(ApplianceId(1));
     let mut ear = Ear::default();
-    async_io::block_on(hub.run(async {
-        while ear.ended.is_none() {
-            hub.hear(&mut ear);
-            futures_lite::future::yield_now().await;
-        }
-    }));
-    assert_eq!(ear.ended, Some(want));
+    assert_eq!(ear.until_ended(&hub), Some(want));
     let loads = ear.loads.iter().map(|(at, gauges)| (at.0, gauges.as_slice())).collect::<Vec<_>>();
     assert_eq!(loads, if gauges.is_empty() { vec![] } else { vec![(1, gauges)] });
 }
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -53,8 +53,8 @@
     }
 
     /// The names of a list, none if it is empty.
-    pub fn names(&self, key: &str) -> Result<Vec<&str>, String> {
-        Ok(self.text(key)?.split(',').filter(|name| !name.is_empty()).collect())
+    pub fn names(&self, key: &str) -> Result<Vec<String>, String> {
+        Ok(self.text(key)?.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect())
     }
 
     fn figures(&self, key: &str) -> Result<Vec<f64>, String> {
@@ -71,6 +71,11 @@
         found.ok_or_else(|| format!("{key} is {text:?}, which is unknown"))
     }
 
+    /// Whether the list of appliances comes only when asked for.
+    pub fn asks(&self) -> Result<bool, String> {
+        self.word("membership-mode", &[("push", false), ("ask", true)])
+    }
+
     /// The longest that a client waits, over all products.
     pub fn longest_expiry(&self) -> Result<Duration, String> {
         let count: u8 = self.num("profiles.count")?;
@@ -116,10 +121,9 @@
     let count: u8 = pairs.num("profiles.count")?;
     let products = (0..count.into()).map(|i| pairs.product(i)).collect::<Result<Vec<_>, _>>()?;
     let count = products.len();
-    let zones = pairs.names("zones")?.len();
+    let zones = pairs.text("zones")?.split(',').count();
     let tick = pairs.period("tick")?;
-    let asks = pairs.word("membership-mode", &[("push", false), ("ask", true)])?;
-    let ask_within = if asks { Some(pairs.period("rules.ask-within")?) } else { None };
+    let ask_within = if pairs.asks()? { Some(pairs.period("rules.ask-within")?) } else { None };
     let roster = Roster::new(Zone(pairs.num("zone")?), ask_within);
     let thaw = Thaw::new(
         pairs.figure("rules.cold-from")?,
