--- a/src/brain.rs
+++ b/src/brain.rs
@@ -106,9 +106,8 @@
     }
 
     fn permits(&self, now: Duration, build: Build, h: &Held) -> bool {
-        let Some((_, cap)) = self.bound(build).filter(|_| self.admits(build, h)) else {
-            return self.admits(build, h);
-        };
+        let admitted = self.admits(build, h);
+        let Some((_, cap)) = self.bound(build).filter(|_| admitted) else { return admitted };
         // Strictly inside the window, by a tick: an arrival at its very edge may not be counted.
         let edge = (now + self.tick + Duration::from_micros(1)).saturating_sub(self.span);
         let (lane, from, w) = (self.lane(h.txn.product), now.saturating_sub(self.span), &self.windows);
