SIGHUP moves discovery and the platform; it ended the agent before

Signals are now heard before anything else in the start. The start file is read again, discovery and platform get a place that can move, and a move ends the watch, the listener or the pause that waits for the old one. Other fields that differ are named in one line; a file that cannot be used changes nothing.

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
 use futures_lite::{FutureExt, StreamExt, pin};
 use lilacgate::port::*;
 use lilacgate_start::Paths;
@@ -16,7 +15,7 @@
 use crate::hub::Hub;
 use crate::json::{self, Json};
 use crate::log::{Count, End, count, say};
-use crate::ring::{Intake, Parse, Ring, connect, items, within};
+use crate::ring::{Intake, Parse, Place, Ring, connect, items, within};
 
 /// A quiet watch sends an empty line this often.
 const QUIET: Duration = Duration::from_secs(2);
@@ -160,7 +159,7 @@
 pub struct Discovery {
     hub: Rc<Hub>,
     appliances: Rc<Appliances>,
-    at: SocketAddr,
+    pub place: Place,
     zones: Vec<String>,
     models: Vec<String>,
     connect_within: Duration,
@@ -182,7 +181,7 @@
         Ok(Rc::new(Discovery {
             hub,
             appliances,
-            at,
+            place: Place::new(at),
             zones: told.names("zones")?,
             models: told.names("shapes")?,
             connect_within: told.period("limits.connect-timeout")?,
@@ -267,14 +266,14 @@
         let me = self.clone();
         self.hub.spawn(async move {
             match me.call("/catalog/members".into(), true).await {
-                Ok(()) => say!("discovery {} ended: {}", me.at, End::Closed),
+                Ok(()) => say!("discovery {} ended: {}", me.place.at(), End::Closed),
                 Err(end) => me.failed(end),
             }
         });
     }
 
     fn failed(&self, end: End) {
-        say!("discovery {} ended: {end}", self.at);
+        say!("discovery {} ended: {end}", self.place.at());
         if self.asked {
             self.hub.tell(|ear| ear.roster(Listing::Failed, &mut std::iter::empty()));
         }
@@ -288,31 +287,37 @@
             while !on {
                 on = self.wish.1.recv().await.unwrap_or(false);
             }
-            let before = self.version.get();
+            let (at, before) = (self.place.at(), self.version.get());
             let call = self.call(format!("/catalog/members?follow=1&since={before}"), false);
             let off = async {
                 while self.wish.1.recv().await.unwrap_or(true) {}
                 Err(End::GivenUp)
             };
-            if let Err(end) = call.or(off).await {
-                self.failed(end);
+            match call.or(off).or(self.place.moved()).await {
+                Err(End::Moved) => {
+                    // Another service may count its versions otherwise: the whole list, at once.
+                    say!("discovery {at} ended: {}", End::Moved);
+                    self.version.set(0);
+                    pause = QUIET / 40;
+                    continue;
+                }
+                Err(end) => self.failed(end),
+                Ok(()) => {}
             }
             on = !self.asked;
             pause = if self.version.get() == before { (pause * 2).min(QUIET) } else { QUIET / 40 };
-            if on {
-                Timer::after(pause).await;
+            if on && within(pause, self.place.moved::<()>()).await == Err(End::Moved) {
+                self.version.set(0);
             }
         }
     }
 
     /// One call, up to its end, or to its first message.
     async fn call(&self, path: String, once: bool) -> Result<(), End> {
-        let stream = Rc::new(connect(self.at, self.connect_within).await?);
+        let at = self.place.at();
+        let stream = Rc::new(connect(at, self.connect_within).await?);
         let mut ask = Ring::new(HEAD_LINE);
-        ask.put(
-            format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.at)
-                .as_bytes(),
-        );
+        ask.put(format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nAccept: application/json\r\n\r\n").as_bytes());
         within(self.connect_within, ask.flush(&stream)).await?;
         let lists = items(stream, Intake::new(Lines(Answer::new(self.most)), self.most, QUIET * 2));
         pin!(lists);
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -79,6 +79,7 @@
     Crowded "crowded"
     Stale "stale"
     Gone "gone"
+    Moved "moved"
     OwnLimit "own-limit"
     Stopping "stopping"
     Failed "failed"
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -29,7 +29,10 @@
 use futures_lite::{FutureExt, StreamExt};
 
 use crate::clients::Clients;
+use crate::discovery::Discovery;
+use crate::json::Json;
 use crate::log::say;
+use crate::platform::Platform;
 
 /// Descriptors for all but clients and links: output, the reactor, signals, listeners, discovery, the platform.
 const OWN: usize = 32;
@@ -46,9 +49,10 @@
 
 fn start() -> Result<(), String> {
     let file = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no start file")?;
-    let text = std::fs::read(&file).map_err(|fault| format!("the start file {file}: {fault}"))?;
-    let told = told::read(&text)?;
-    drop(text);
+    // First of all: until it is heard, a signal may end the agent.
+    let heard = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
+    let heard = Signals::new(heard).map_err(|fault| format!("signals: {fault}"))?;
+    let told = told(&file)?;
     let unusable = |name: &str| format!("the start file's {name} cannot be used");
     let settings = &told.settings;
     let brain = lilacgate_start::instance(told.seed, settings)?.brain;
@@ -68,8 +72,9 @@
         Some(listen) => Some(peers::Peers::new(hub.clone(), listen, told.peers, told.peers_all)?),
         None => None,
     };
-    discovery.told(&told.known, true).ok_or_else(|| unusable("known"))?;
-    hub.tell(platform::news(&told.news).ok_or_else(|| unusable("pipeline.news"))?);
+    let within = |path| told::field(&told.file, path).unwrap_or(&Json::Null);
+    discovery.told(within("known"), true).ok_or_else(|| unusable("known"))?;
+    hub.tell(platform::news(within("pipeline.news")).ok_or_else(|| unusable("pipeline.news"))?);
     let listener =
         Async::<TcpListener>::bind(told.listen).map_err(|e| format!("listen {}: {e}", told.listen))?;
     say!("{} listens at {}", told.name, told.listen);
@@ -79,26 +84,62 @@
         hub.spawn(peers.clone().run());
     }
     hub.spawn(appliances.clone().sweep());
+    let signals =
+        Asked { heard, file, first: told.file, discovery: discovery.clone(), platform: platform.clone() };
     let hands =
         hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, wakes: BTreeSet::new() };
     hub.spawn(hands.host(brain));
     hub.spawn(clients.clone().accept(listener));
-    async_io::block_on(hub.run(signals(clients)))
+    async_io::block_on(hub.run(signals.serve(clients)));
+    Ok(())
 }
 
-/// Counters at SIGUSR1. At SIGTERM all that was taken is answered first; a second one ends at once.
-async fn signals(clients: Rc<Clients>) -> Result<(), String> {
-    let wanted = [Signal::Term, Signal::Int, Signal::Usr1];
-    let mut signals = Signals::new(wanted).map_err(|fault| format!("signals: {fault}"))?;
-    stop_asked(&mut signals).await;
-    say!("stopping");
-    clients.stop().or(stop_asked(&mut signals)).await;
-    eprintln!("counters:{}", log::counters());
-    Ok(())
+fn told(file: &str) -> Result<told::Told, String> {
+    let text = std::fs::read(file).map_err(|fault| format!("the start file {file}: {fault}"))?;
+    told::read(&text)
 }
 
-async fn stop_asked(signals: &mut Signals) {
-    while let Some(Ok(Signal::Usr1)) = signals.next().await {
+/// What the agent is asked by signals.
+struct Asked {
+    heard: Signals,
+    file: String,
+    /// The start file as it was at the start.
+    first: Json,
+    discovery: Rc<Discovery>,
+    platform: Rc<Platform>,
+}
+
+impl Asked {
+    /// Until the end. At SIGTERM all that was taken is answered first; a second one ends at once.
+    async fn serve(mut self, clients: Rc<Clients>) {
+        self.until_stop().await;
+        say!("stopping");
+        clients.stop().or(self.until_stop()).await;
         eprintln!("counters:{}", log::counters());
     }
+
+    /// Counters at SIGUSR1; at SIGHUP the start file is read again.
+    async fn until_stop(&mut self) {
+        while let Some(Ok(signal @ (Signal::Usr1 | Signal::Hup))) = self.heard.next().await {
+            match signal {
+                Signal::Hup => self.reload(),
+                _ => eprintln!("counters:{}", log::counters()),
+            }
+        }
+    }
+
+    /// Takes over where discovery and the platform listen, and nothing else; of a file that cannot be used, nothing.
+    fn reload(&self) {
+        let told = match told(&self.file) {
+            Ok(told) => told,
+            Err(fault) => return say!("reload: {fault}; nothing changes"),
+        };
+        let left = told::differences(&self.first, &told.file);
+        if !left.is_empty() {
+            say!("reload: only a restart takes over {}", left.join(", "));
+        }
+        say!("reload: discovery at {}, platform at {}", told.discovery, told.platform);
+        self.discovery.place.move_to(told.discovery);
+        self.platform.place.move_to(told.platform);
+    }
 }
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -7,15 +7,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::{Async, Timer};
-use futures_lite::{StreamExt, pin};
+use async_io::Async;
+use futures_lite::{FutureExt, StreamExt, pin};
 use lilacgate::port::*;
 use lilacgate_start::Paths;
 
 use crate::hub::Hub;
 use crate::json::{self, Json};
 use crate::log::{Count, End, count, say};
-use crate::ring::{Intake, Ring, connect, items, within};
+use crate::ring::{Intake, Place, Ring, connect, items, within};
 
 /// A line as long as this ends the connection.
 const LINE: usize = 8 << 10;
@@ -23,13 +23,14 @@
 const PING: Duration = Duration::from_secs(1);
 
 struct Line {
+    to: SocketAddr,
     stream: Async<TcpStream>,
     intake: Intake<json::Values>,
 }
 
 pub struct Platform {
     hub: Rc<Hub>,
-    at: SocketAddr,
+    pub place: Place,
     connect_within: Duration,
     answer_within: Duration,
     /// The connection of the last vote.
@@ -58,7 +59,7 @@
     pub fn new(hub: Rc<Hub>, at: SocketAddr, told: &Paths) -> Result<Rc<Self>, String> {
         Ok(Rc::new(Platform {
             hub,
-            at,
+            place: Place::new(at),
             connect_within: told.period("limits.connect-timeout")?,
             answer_within: told.period("family-info.call-timeout")?,
             kept: RefCell::default(),
@@ -69,7 +70,7 @@
     /// Passes news on; what cannot be read changes nothing.
     pub fn told(&self, state: &Json) -> bool {
         let Some(news) = news(state) else {
-            say!("platform {} tells what cannot be read", self.at);
+            say!("platform {} tells what cannot be read", self.place.at());
             return false;
         };
         count(Count::News);
@@ -90,15 +91,18 @@
         let mut pause = PING / 20;
         loop {
             let heard = Cell::new(false);
-            let Err(end) = self.listen(&heard).await;
-            say!("platform {} ended: {end}", self.at);
-            pause = if heard.get() { PING / 20 } else { (pause * 2).min(PING) };
-            Timer::after(pause).await;
+            let at = self.place.at();
+            let Err(end) = self.listen(at, &heard).or(self.place.moved()).await;
+            say!("platform {at} ended: {end}");
+            pause = if heard.get() || end == End::Moved { PING / 20 } else { (pause * 2).min(PING) };
+            if end != End::Moved {
+                within(pause, self.place.moved::<()>()).await.ok();
+            }
         }
     }
 
-    async fn listen(&self, heard: &Cell<bool>) -> Result<Infallible, End> {
-        let stream = Rc::new(connect(self.at, self.connect_within).await?);
+    async fn listen(&self, at: SocketAddr, heard: &Cell<bool>) -> Result<Infallible, End> {
+        let stream = Rc::new(connect(at, self.connect_within).await?);
         let (_, mut ask) = self.wording("listen", "");
         within(self.connect_within, ask.flush(&stream)).await?;
         let told = items(stream, Intake::new(json::Values::new(LINE), LINE, PING * 3));
@@ -111,7 +115,7 @@
                 (Some("ROLLOUT"), Some(state)) => drop(self.told(state)),
                 (Some("ping"), _) => {}
                 _ if message.get("result") == Some(&Json::Truth(true)) => {}
-                _ => say!("platform {} sends what was not asked for", self.at),
+                _ => say!("platform {} sends what was not asked for", self.place.at()),
             }
         }
     }
@@ -147,7 +151,7 @@
                 Err(_) => Ending::TimedOut,
             };
             if let Err(end) = answer {
-                say!("platform {}: a vote's connection ended: {end}", me.at);
+                say!("platform {}: a vote's connection ended: {end}", me.place.at());
             }
             me.hub.tell(move |ear| ear.vote_answered(ending));
         });
@@ -156,17 +160,19 @@
     /// Asks on the kept connection, if it still stands, or on a new one.
     async fn ask(&self, params: &str, written: &Cell<bool>) -> Result<Json, End> {
         let kept = self.kept.take();
-        let kept = kept.and_then(|mut line| {
+        let to = self.place.at();
+        let kept = kept.filter(|line| line.to == to).and_then(|mut line| {
             let quiet = line.intake.is_quiet(&line.stream);
             if !quiet {
-                say!("platform {}: a vote's connection ended: {}", self.at, End::Stale);
+                say!("platform {to}: a vote's connection ended: {}", End::Stale);
             }
             quiet.then_some(line)
         });
         let mut line = match kept {
             Some(line) => line,
             None => Line {
-                stream: connect(self.at, self.connect_within).await?,
+                to,
+                stream: connect(to, self.connect_within).await?,
                 intake: Intake::new(json::Values::new(LINE), LINE, self.answer_within),
             },
         };
@@ -179,7 +185,7 @@
                 self.kept.replace(Some(line));
                 return Ok(answer);
             }
-            say!("platform {} answers what was not asked", self.at);
+            say!("platform {to} answers what was not asked");
         }
     }
 }
--- a/crates/agent/src/ring.rs
+++ b/crates/agent/src/ring.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::stream::{self, Stream};
 use futures_lite::{FutureExt, pin};
@@ -159,6 +160,34 @@
     work.or(late).await
 }
 
+/// Where a service listens. A move ends what waits for the old place.
+pub struct Place {
+    at: Cell<SocketAddr>,
+    bell: (Sender<()>, Receiver<()>),
+}
+
+impl Place {
+    pub fn new(at: SocketAddr) -> Self {
+        Place { at: Cell::new(at), bell: async_channel::bounded(1) }
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.at.get()
+    }
+
+    pub fn move_to(&self, at: SocketAddr) {
+        if self.at.replace(at) != at {
+            self.bell.0.try_send(()).ok();
+        }
+    }
+
+    /// Waits until it has moved.
+    pub async fn moved<T>(&self) -> Result<T, End> {
+        self.bell.1.recv().await.ok();
+        Err(End::Moved)
+    }
+}
+
 pub async fn connect(to: SocketAddr, wait: Duration) -> Result<Async<TcpStream>, End> {
     let stream = within(wait, async { Async::<TcpStream>::connect(to).await.map_err(End::from) }).await?;
     stream.get_ref().set_nodelay(true).map_err(End::from)?;
--- a/crates/agent/src/told.rs
+++ b/crates/agent/src/told.rs
@@ -1,11 +1,15 @@
-//! Owns what the agent is told at its start: the start file, read once and taken apart. It must never guess: a field
-//! that is missing or unusable is named in one plain line, and the agent does not start.
+//! Owns what the agent is told: the start file, taken apart at the start and again whenever that is asked for. It must
+//! never guess: a field that is missing or unusable is named in one plain line, and the agent does not start, or goes
+//! on as it was.
 use std::net::SocketAddr;
 
 use lilacgate_start::Paths;
 
 use crate::json::{self, Json};
 
+/// What a running agent takes over from a start file that was replaced.
+const MOVABLE: [&str; 2] = ["discovery", "pipeline.address"];
+
 pub struct Told {
     pub name: String,
     pub seed: u64,
@@ -18,17 +22,17 @@
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
     pub platform: SocketAddr,
-    pub news: Json,
-    pub known: Json,
     pub settings: Paths,
+    /// All of it.
+    pub file: Json,
 }
 
 /// A field, by its path.
-fn field<'a>(file: &'a Json, path: &str) -> Option<&'a Json> {
+pub fn field<'a>(file: &'a Json, path: &str) -> Option<&'a Json> {
     path.split('.').try_fold(file, |at, name| at.get(name)).filter(|value| **value != Json::Null)
 }
 
-fn need<T>(file: &Json, path: &str, read: impl Fn(&Json) -> Option<T>) -> Result<T, String> {
+fn need<'a, T>(file: &'a Json, path: &str, read: impl FnOnce(&'a Json) -> Option<T>) -> Result<T, String> {
     let value = field(file, path).ok_or_else(|| format!("the start file lacks {path}"))?;
     read(value).ok_or_else(|| format!("the start file's {path} cannot be used"))
 }
@@ -42,8 +46,10 @@
     let maybe =
         |path| if field(&file, path).is_some() { need(&file, path, address).map(Some) } else { Ok(None) };
     let mut pairs = Vec::new();
-    let settings = need(&file, "settings", |value| Some(value.clone()))?;
-    settings.flatten("", &mut |path, value| pairs.push((path, value)));
+    let mut put = |path, value| pairs.push((path, value));
+    need(&file, "settings", Some)?.flatten("", &mut put);
+    need(&file, "pipeline.news", |_| Some(()))?;
+    need(&file, "known", |_| Some(()))?;
     let peers = |value: &Json| value.list()?.iter().map(address).collect();
     let megabytes = |value: &Json| value.whole().and_then(|mb| usize::try_from(mb << 20).ok());
     Ok(Told {
@@ -57,8 +63,30 @@
         peers: if field(&file, "peers").is_some() { need(&file, "peers", peers)? } else { Vec::new() },
         peers_all: maybe("peers_all")?,
         platform: need(&file, "pipeline.address", address)?,
-        news: need(&file, "pipeline.news", |value| Some(value.clone()))?,
-        known: need(&file, "known", |value| Some(value.clone()))?,
         settings: pairs.into_iter().collect(),
+        file,
     })
 }
+
+/// What stands differently in two start files, apart from what may move.
+pub fn differences(one: &Json, other: &Json) -> Vec<String> {
+    let mut found = Vec::new();
+    differ(one, other, "", &mut found);
+    found.retain(|path| !MOVABLE.contains(&path.as_str()));
+    found
+}
+
+fn differ(one: &Json, other: &Json, path: &str, found: &mut Vec<String>) {
+    let (Json::Object(fields), Json::Object(others)) = (one, other) else {
+        if one != other {
+            found.push(path.to_owned());
+        }
+        return;
+    };
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    for (name, value) in fields {
+        differ(value, other.get(name).unwrap_or(&Json::Null), &under(name), found);
+    }
+    let new = others.iter().filter(|(name, _)| one.get(name).is_none());
+    found.extend(new.map(|(name, _)| under(name)));
+}
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -21,6 +21,8 @@
 //!     peer sends BYTES / stranger sends BYTES
 //!     crowd N / disperse           so many clients connect and stay / all of them leave
 //!     files N                      the agent may open so many files
+//!     discovery moves / platform moves   from now on it is another one, elsewhere; the start file says so
+//!     told / told raw BYTES / told nothing   the start file is replaced by one as set, by these bytes, or removed
 //!     signal NAME / counter NAME N / ends CODE / log TEXT
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -213,6 +215,7 @@
     files: String,
     version: u64,
     listen: SocketAddr,
+    folder: tempfile::TempDir,
     agent: Option<Child>,
     log: Arc<Mutex<String>>,
 }
@@ -233,30 +236,38 @@
     .replace('\n', "")
 }
 
+fn discovery() -> Post {
+    let watch = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Post::new(head, "follow", watch, b"1\r\n\n\r\n")
+}
+
+/// Listeners and votes come to one address; they are told apart by what they say.
+fn platform() -> (Post, Receiver<Said>) {
+    let ping = b"{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n";
+    let hello = b"{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n";
+    let mut platform = Post::new(line, "listen", hello, ping);
+    let (both, (votes, voted), (listen, listeners)) = (platform.said, channel(), channel());
+    thread::spawn(move || {
+        for said in both.into_iter().filter(|said| said.1 != "the end") {
+            let to = if said.1.contains("listen") { &listen } else { &votes };
+            if to.send(said).is_err() {
+                return;
+            }
+        }
+    });
+    platform.said = voted;
+    (platform, listeners)
+}
+
 impl Play {
     fn new() -> Play {
-        let watch = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let discovery = Post::new(head, "follow", watch, b"1\r\n\n\r\n");
-        let ping = b"{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n";
-        let hello = b"{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":true}\n";
-        let mut platform = Post::new(line, "listen", hello, ping);
-        // Listeners and votes come to one address; they are told apart by what they say.
-        let (both, (votes, voted), (listen, listeners)) = (platform.said, channel(), channel());
-        thread::spawn(move || {
-            for said in both.into_iter().filter(|said| said.1 != "the end") {
-                let to = if said.1.contains("listen") { &listen } else { &votes };
-                if to.send(said).is_err() {
-                    return;
-                }
-            }
-        });
-        platform.said = voted;
+        let (platform, listeners) = platform();
         let socket = || UdpSocket::bind("127.0.0.1:0").expect("a free port");
         Play {
             start: START.into(),
             known: Vec::new(),
             appliances: HashMap::new(),
-            discovery,
+            discovery: discovery(),
             platform,
             listeners,
             listener: 0,
@@ -266,6 +277,7 @@
             files: String::new(),
             version: 5,
             listen: free(),
+            folder: tempfile::tempdir().expect("a folder"),
             agent: None,
             log: Arc::default(),
         }
@@ -274,17 +286,8 @@
     fn spawn(&mut self) {
         let peer_listen = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a free port");
         self.start = self.start.replace("PEER_LISTEN", &peer_listen.to_string());
-        let places = [
-            ("LISTEN", self.listen.to_string()),
-            ("DISCOVERY", self.discovery.at.to_string()),
-            ("PLATFORM", self.platform.at.to_string()),
-            ("PEER", self.peers[0].local_addr().expect("its address").to_string()),
-            ("KNOWN", self.known.join(",")),
-        ];
-        let text = places.iter().fold(self.start.clone(), |text, (name, value)| text.replace(name, value));
-        let folder = tempfile::tempdir().expect("a folder");
-        let file = folder.path().join("start.json");
-        std::fs::write(&file, text).expect("the start file");
+        let file = self.file();
+        self.write_told();
         let run = format!("{}exec {}", self.files, env!("CARGO_BIN_EXE_lilacgate"));
         let mut child = Command::new("/bin/sh")
             .args(["-c", &run])
@@ -293,19 +296,32 @@
             .spawn()
             .expect("the agent starts");
         let (from, log) = (child.stderr.take().expect("its log"), self.log.clone());
-        // The file goes once the agent has read it, which its first line or its end shows.
-        let (begun, first) = channel();
         thread::spawn(move || {
             let mut from = BufReader::new(from);
             while let Some(said) = line(&mut from) {
                 log.lock().expect("a lock").push_str(&format!("{said}\n"));
-                begun.send(()).ok();
             }
         });
-        first.recv_timeout(PATIENCE).ok();
         self.agent = Some(child);
     }
 
+    fn file(&self) -> PathBuf {
+        self.folder.path().join("start.json")
+    }
+
+    /// Writes the start file.
+    fn write_told(&self) {
+        let places = [
+            ("LISTEN", self.listen.to_string()),
+            ("DISCOVERY", self.discovery.at.to_string()),
+            ("PLATFORM", self.platform.at.to_string()),
+            ("PEER", self.peers[0].local_addr().expect("its address").to_string()),
+            ("KNOWN", self.known.join(",")),
+        ];
+        let text = places.iter().fold(self.start.clone(), |text, (name, value)| text.replace(name, value));
+        std::fs::write(self.file(), text).expect("the start file");
+    }
+
     /// Opens a connection to the agent, and again until it listens.
     fn open(&self) -> BufReader<TcpStream> {
         for _ in 0..PATIENCE.as_millis() / 10 {
@@ -454,6 +470,17 @@
                 }
             }
             ("disperse", _) => self.crowd.clear(),
+            ("discovery", _) => {
+                self.discovery = discovery();
+                self.write_told();
+            }
+            ("platform", _) => {
+                (self.platform, self.listeners) = platform();
+                self.write_told();
+            }
+            ("told", ("raw", text)) => std::fs::write(self.file(), bytes(text)).expect("the start file"),
+            ("told", ("nothing", _)) => std::fs::remove_file(self.file()).expect("the start file"),
+            ("told", _) => self.write_told(),
             ("files", _) => self.files = format!("ulimit -n {rest}; "),
             ("roster", ("raw", text)) => self.discovery.write(&bytes(text)),
             ("roster", ("asked", text)) => {
