Bad clients end early; spoilt answers are an ending of their own; nothing kept of what is gone

Unknown error lines kept their link (appliances.rs), news and votes' answers that cannot be read kept their connection (platform.rs), homes and numbers never forgot, and a submission out at an earlier process counted for the next one under that id. Ruled out: rings as a leak (a put is at most one message); the wording of an id as a cause, ids were well formed.

--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -1,6 +1,6 @@
 //! Owns the links to appliances, and what goes over them: submissions, probes. One txn a link at a time, so that giving
-//! one up hurts no other. It must never send anything twice, nor say that a submission never ran when its last byte
-//! may have gone out; which appliance serves what is not its to decide.
+//! one up hurts no other. It must never send anything twice, say that a submission never ran when its last byte may
+//! have gone out, nor take for an answer what came behind another; which appliance serves what is not its to decide.
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::{SocketAddr, TcpStream};
@@ -18,9 +18,12 @@
 use crate::resp::{self, Resp};
 use crate::ring::{Intake, Ring, connect, within};
 
-/// An appliance's address, and the links to it that carry nothing now.
+/// A process that an appliance runs: where it listens, its build, and when it started. Links are to it alone.
+type Life = (SocketAddr, Build, Option<Duration>);
+
+/// An appliance in the list, and the links to it that carry nothing now.
 struct Home {
-    at: SocketAddr,
+    life: Life,
     mode: Mode,
     idle: Vec<Link>,
 }
@@ -29,7 +32,7 @@
     stream: Async<TcpStream>,
     intake: Intake<resp::Values>,
     out: Ring,
-    to: SocketAddr,
+    to: Life,
     /// When it last carried something.
     since: Duration,
     /// Why it ends, if it ends now.
@@ -41,7 +44,7 @@
     fn drop(&mut self) {
         self.open.set(self.open.get() - 1);
         count(Count::LinksClosed);
-        say!("link to {} ended: {}", self.to, self.why);
+        say!("link to {} ended: {}", self.to.0, self.why);
     }
 }
 
@@ -75,6 +78,8 @@
     /// In which time an answer must be whole, once begun.
     patience: Duration,
     idle_for: Duration,
+    /// How long a link rests after an answer, so that what belongs to none shows itself before it is used again.
+    rest: Duration,
     most_links: usize,
     open: Rc<Cell<usize>>,
 }
@@ -91,6 +96,7 @@
             patience: told.longest_expiry()?,
             // Sooner than the appliance would: what is written to a link that it closes may have run.
             idle_for: told.period("limits.conn-idle")? * 9 / 10,
+            rest: told.period("tick")?,
             most_links,
             open,
         }))
@@ -100,23 +106,29 @@
         self.hub.clock
     }
 
-    /// Notes where an appliance listens.
-    pub fn place(&self, id: ApplianceId, at: SocketAddr, mode: Mode) {
+    /// Notes an entry of the list, and where that appliance listens.
+    pub fn place(&self, line: &Line, at: SocketAddr) {
         let mut homes = self.homes.borrow_mut();
-        let home = homes.entry(id).or_insert_with(|| Home { at, mode, idle: Vec::new() });
-        home.mode = mode;
-        if home.at != at || mode != Mode::Ready {
-            home.at = at;
+        let (life, mode) = ((at, line.build, line.started), line.mode);
+        let home = homes.entry(line.appliance).or_insert_with(|| Home { life, mode, idle: Vec::new() });
+        if home.life != life || mode != Mode::Ready {
             close(&mut home.idle, End::Gone);
         }
+        (home.life, home.mode) = (life, mode);
+        if mode == Mode::Gone {
+            homes.remove(&line.appliance);
+        }
     }
 
     /// Notes that a whole list names these alone.
     pub fn keep_only(&self, listed: &BTreeSet<ApplianceId>) {
-        for (_, home) in self.homes.borrow_mut().iter_mut().filter(|(id, _)| !listed.contains(id)) {
-            home.mode = Mode::Gone;
-            close(&mut home.idle, End::Gone);
-        }
+        self.homes.borrow_mut().retain(|id, home| {
+            let stays = listed.contains(id);
+            if !stays {
+                close(&mut home.idle, End::Gone);
+            }
+            stays
+        });
     }
 
     /// Whether there is one that takes txns.
@@ -145,13 +157,15 @@
         let now = self.clock().now();
         let mut homes = self.homes.borrow_mut();
         let idle = &mut homes.get_mut(&id)?.idle;
-        std::iter::from_fn(|| idle.pop())
-            .find_map(|mut link| link.is_usable(now, self.idle_for).then_some(link))
+        idle.retain_mut(|link| link.is_usable(now, self.idle_for));
+        let rested = idle.iter().rposition(|link| link.since + self.rest <= now)?;
+        Some(idle.remove(rested))
     }
 
     /// Opens a link; the longest idle one elsewhere goes where no more may be open.
     async fn connect(&self, id: ApplianceId) -> Result<Link, Ending> {
-        let at = self.homes.borrow().get(&id).map(|home| home.at).ok_or(Ending::Unsent)?;
+        let to = self.homes.borrow().get(&id).map(|home| home.life).ok_or(Ending::Unsent)?;
+        let at = to.0;
         if self.open.get() >= self.most_links && !self.close_one() {
             say!("no link to {at}: all {} are in use", self.most_links);
             return Err(Ending::Unsent);
@@ -168,7 +182,7 @@
             stream,
             intake: Intake::new(resp::Values::default(), resp::MESSAGE, self.patience),
             out: Ring::new(resp::MESSAGE),
-            to: at,
+            to,
             since: self.clock().now(),
             why: End::GivenUp,
             open: opening.done(),
@@ -185,7 +199,7 @@
     fn keep(&self, id: ApplianceId, mut link: Link) {
         link.since = self.clock().now();
         match self.homes.borrow_mut().get_mut(&id) {
-            Some(home) if home.at == link.to && home.mode == Mode::Ready => home.idle.push(link),
+            Some(home) if home.life == link.to && home.mode == Mode::Ready => home.idle.push(link),
             _ => link.why = End::Gone,
         }
     }
@@ -247,21 +261,24 @@
         let bytes = wording(until.saturating_sub(self.clock().now()));
         let answer = self.exchange(&mut link, &bytes, written).await?;
         let (ending, value, load) = match answer {
-            Resp::Array(Some(items)) => {
-                let mut items = items.into_iter();
-                let Some(Resp::Bulk(Some(value))) = items.next() else { return Err(malformed(&mut link)) };
-                let load =
-                    items.nth(1).and_then(|load| if let Resp::Bulk(load) = load { load } else { None });
-                (Ending::Served, value, load)
-            }
+            Resp::Array(Some(items)) => match <[Resp; 3]>::try_from(items) {
+                Ok([Resp::Bulk(Some(value)), Resp::Bulk(None) | Resp::Array(None), load]) => {
+                    // A report that cannot be read is none; the answer is good all the same.
+                    (Ending::Served, value, if let Resp::Bulk(load) = load { load } else { None })
+                }
+                _ => return Err(malformed(&mut link)),
+            },
             Resp::Error(line) => {
-                let turned_away = line.split(|&b| b == b' ').next() == Some(b"BUSY");
-                if !turned_away && !line.starts_with(b"ERR") {
-                    say!("{} answers -{}", link.to, String::from_utf8_lossy(&line));
+                let words = String::from_utf8(line).map_err(|_| malformed(&mut link))?;
+                let (words, load) = match words.rsplit_once(' ') {
+                    Some((words, load)) if load.contains('=') => (words, Some(load.as_bytes().to_vec())),
+                    _ => (words.as_str(), None),
+                };
+                match words {
+                    "BUSY" => (Ending::TurnedAway, Vec::new(), load),
+                    "ERR failed" => (Ending::Failed, Vec::new(), load),
+                    _ => return Err(malformed(&mut link)),
                 }
-                let load = line.rsplit(|&b| b == b' ').next().filter(|word| word.contains(&b'='));
-                let load = load.map(<[u8]>::to_vec);
-                (if turned_away { Ending::TurnedAway } else { Ending::Failed }, Vec::new(), load)
             }
             _ => return Err(malformed(&mut link)),
         };
@@ -283,7 +300,7 @@
             Ok(None) => End::Closed,
             Err(end) => end,
         };
-        Err(Ending::Broken)
+        Err(if matches!(link.why, End::Malformed | End::TooLong) { Ending::Spoilt } else { Ending::Broken })
     }
 
     /// Asks an appliance for its load.
@@ -299,11 +316,13 @@
                 };
                 let ask = resp::command([&b"INFO"[..], b"load"].into_iter());
                 let answer = me.exchange(&mut link, &ask, &Cell::new(false)).await?;
-                me.keep(to, link);
-                match answer {
+                let load = match answer {
                     Resp::Bulk(load) => Ok(load),
-                    _ => Err(Ending::Failed),
-                }
+                    Resp::Error(_) => Err(Ending::Failed),
+                    _ => return Err(malformed(&mut link)),
+                };
+                me.keep(to, link);
+                load
             };
             let answer = within(me.connect_within, async { Ok(ask.await) }).await;
             let answer = answer.unwrap_or(Err(Ending::TimedOut));
@@ -348,7 +367,7 @@
 
 fn malformed(link: &mut Link) -> Ending {
     link.why = End::Malformed;
-    Ending::Broken
+    Ending::Spoilt
 }
 
 fn close(links: &mut Vec<Link>, why: End) {
--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -2,7 +2,7 @@
 //! answer for a txn by itself once the hub has taken it, nor let one client's trouble reach another. What is beyond
 //! its bounds (descriptors, memory, txns in hand) is turned away before the module hears of it.
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::ErrorKind;
 use std::net::{TcpListener, TcpStream};
@@ -22,6 +22,8 @@
 use crate::resp;
 use crate::ring::{Intake, Ring, items, within};
 
+/// A connection that brings no whole command in this time, from its start or from the command's, ends.
+const WHOLE: Duration = Duration::from_secs(2);
 /// After SIGTERM, new connections go on coming for so long; then those that exist end between requests.
 const STILL_COMING: Duration = Duration::from_millis(400);
 /// The agent may not outlast the longest expiry, counted as this at least, by more than the time beside it.
@@ -51,6 +53,18 @@
     }
 }
 
+/// The ids of the txns in hand, as clients gave them.
+type Ids = Rc<RefCell<HashSet<Vec<u8>>>>;
+
+/// Holds one of them, as long as it lives.
+struct InHand(Ids, Vec<u8>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
+}
+
 /// An answer that is due on a connection.
 enum Due {
     Owed(TxnId),
@@ -64,7 +78,7 @@
     first: Cell<u64>,
     bell: (Sender<()>, Receiver<()>),
     stream: Weak<Async<TcpStream>>,
-    /// Whether it was let in only to be told that there is no room, and whether a command has come.
+    /// Whether there is no place for its txns, or it has not asked for one yet, and whether a command has come.
     brief: Cell<bool>,
     used: Cell<bool>,
     /// Whether something was read that is no whole command yet.
@@ -98,7 +112,7 @@
         let quiet = |stream: Rc<Async<TcpStream>>| {
             stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
         };
-        let deaf = matches!(self.ending.get(), Some(End::Malformed | End::TooLong));
+        let deaf = matches!(self.ending.get(), Some(End::Malformed | End::TooLong | End::Flood));
         self.due.borrow().is_empty() && (deaf || !self.amid.get() && self.stream.upgrade().is_some_and(quiet))
     }
 
@@ -155,9 +169,11 @@
     products: Vec<Named>,
     /// Whether a client may be told when to come back.
     advises: bool,
-    /// So many connections, the last quarter of them only to be told that there is no room: what waits unaccepted
+    /// So many connections, the last fifth of them only to be told that there is no room: what waits unaccepted
     /// counts as taken, and would get no answer at all.
     most: usize,
+    /// So many commands may be behind each other on one connection.
+    most_due: usize,
     most_held: usize,
     most_txns: usize,
     /// How long a connection must have been idle to make room for another: as long as that may take to come up.
@@ -165,6 +181,7 @@
     /// The longest that a client waits.
     patience: Duration,
     held: Held,
+    ids: Ids,
     open: RefCell<BTreeMap<u64, Rc<Counter>>>,
     /// Rings when a connection has ended.
     ended: (Sender<()>, Receiver<()>),
@@ -181,18 +198,20 @@
             Ok(Named { name, product: Product(i as u8), repeat: told.repeat(i)? })
         };
         let indices = 0..usize::from(told.num::<u8>("profiles.count")?);
-        let (held, open, stopping) = Default::default();
+        let (held, ids, open, stopping) = Default::default();
         Ok(Rc::new(Clients {
             hub,
             appliances,
             products: indices.map(named).collect::<Result<_, String>>()?,
             advises: told.num("limits.retry-after")?,
             most,
+            most_due: told.num("limits.streams-per-conn")?,
             most_held,
             most_txns: told.num("limits.max-open")?,
             settles: told.period("limits.connect-timeout")?,
             patience: told.longest_expiry()?,
             held,
+            ids,
             open,
             ended: async_channel::bounded(1),
             stopping,
@@ -208,13 +227,12 @@
                 Ok(Some(Ok(stream))) => {
                     count(Count::ClientsIn);
                     serial += 1;
-                    let brief = !self.has_room() && !self.make_room();
-                    self.hub.spawn(self.clone().serve(serial, stream, brief));
+                    self.hub.spawn(self.clone().serve(serial, stream));
                     future::yield_now().await;
                 }
                 Ok(Some(Err(fault))) => {
                     say!("no client accepted: {}", End::from(fault));
-                    self.make_room();
+                    self.make_room(false);
                     self.moment().await;
                 }
                 _ => {}
@@ -223,37 +241,41 @@
                 // None ends before another waits for its place.
                 let waiting = async { listener.readable().await.map_err(End::from) };
                 if within(STILL_COMING / 4, waiting).await.is_ok() && self.open.borrow().len() >= self.most {
-                    self.make_room();
+                    self.make_room(false);
                     self.moment().await;
                 }
             }
         }
     }
 
-    /// So many connections are for txns.
+    /// So many connections are for txns. One that has brought none yet takes no place of theirs.
     fn has_room(&self) -> bool {
-        let many = self.open.borrow().values().filter(|counter| !counter.brief.get()).count();
-        many < self.most - self.most.div_ceil(4)
+        let open = self.open.borrow();
+        let many = open.values().filter(|c| !c.brief.get() && c.ending.get().is_none()).count();
+        many < self.most - self.most.div_ceil(5)
     }
 
-    /// Whether there is still no room for what a connection brings that found none.
+    /// Whether there is no room for the txns that a connection brings.
     fn is_brief(&self, counter: &Counter) -> bool {
-        counter.brief.set(counter.brief.get() && !self.has_room());
+        if counter.brief.get() {
+            counter.brief.set(!self.has_room() && !self.make_room(true));
+        }
         counter.brief.get()
     }
 
-    /// Ends the longest idle connection, if there is one. A new one has its first command on the way, however long
-    /// that takes: a client takes its end for the loss of that command. Where even those without room are all, any
-    /// that stands between commands may go.
-    fn make_room(&self) -> bool {
+    /// Ends the longest idle connection, if there is one, or the longest idle of those for txns: rather one that has said nothing while a first command had
+    /// time to come. Where even those without room are all, any that stands between commands may go.
+    fn make_room(&self, for_txns: bool) -> bool {
         let now = self.hub.clock.now();
         let all = self.open.borrow().len() >= self.most;
         let idle = |counter: &&Rc<Counter>| {
             let settles = if all { Duration::ZERO } else { self.settles };
-            let rest = if counter.used.get() { settles } else { self.patience };
-            counter.since.get() + rest <= now && counter.is_idle()
+            let rest = if counter.used.get() { settles } else { WHOLE / 4 };
+            let among = !(for_txns && counter.brief.get());
+            among && counter.since.get() + rest <= now && counter.is_idle()
         };
-        let longest = self.open.borrow().values().filter(idle).min_by_key(|c| c.since.get()).cloned();
+        let first = |counter: &&Rc<Counter>| (counter.used.get(), counter.since.get());
+        let longest = self.open.borrow().values().filter(idle).min_by_key(first).cloned();
         longest.inspect(|counter| counter.end(End::Crowded)).is_some()
     }
 
@@ -278,15 +300,15 @@
         say!("stopped after {} ms with {left} txns in hand", (self.hub.clock.now() - began).as_millis());
     }
 
-    async fn serve(self: Rc<Self>, serial: u64, stream: Async<TcpStream>, brief: bool) {
+    async fn serve(self: Rc<Self>, serial: u64, stream: Async<TcpStream>) {
         stream.get_ref().set_nodelay(true).ok();
         let who = stream.get_ref().peer_addr().map_or_else(|_| "unknown".into(), |at| at.to_string());
         let stream = Rc::new(stream);
-        let intake = Intake::new(resp::Commands::default(), resp::MESSAGE, self.patience);
+        let intake = Intake::new(resp::Commands::default(), resp::MESSAGE, WHOLE);
         let (due, first, used, ending) = Default::default();
         let since = Cell::new(self.hub.clock.now());
         let bell = async_channel::bounded(1);
-        let (held, brief) = (self.held.clone(), Cell::new(brief));
+        let (held, brief) = (self.held.clone(), Cell::new(true));
         let counter = Rc::new(Counter {
             due,
             first,
@@ -334,12 +356,24 @@
         let commands = items(stream, intake);
         pin!(commands);
         loop {
-            match commands.next().await {
+            let next = commands.next();
+            let next = if counter.used.get() {
+                next.await
+            } else {
+                within(WHOLE, async { Ok(next.await) }).await.unwrap_or_else(|end| Some(Err(end)))
+            };
+            match next {
                 Some(Ok((came, command))) => {
                     if let Err(why) = self.command(self.hub.clock.at(came), command, counter) {
                         count(Count::CommandsRefused);
                         counter.say(&format!("-ERR {why}"));
                     }
+                    // What is asked one behind another has a bound; the rest is not read.
+                    if counter.due.borrow().len() >= self.most_due {
+                        counter.say("-ERR too many commands at once");
+                        counter.end(End::Flood);
+                        return future::pending().await;
+                    }
                     // One that pipelines without end leaves others their turn.
                     future::yield_now().await;
                 }
@@ -377,16 +411,34 @@
         if id.is_empty() {
             return Err("no id".into());
         }
+        if !id.iter().all(u8::is_ascii_graphic) {
+            return Err("bad id".into());
+        }
         let text = std::str::from_utf8(pairs).map_err(|_| "values are not UTF-8")?;
-        let value = |name: &str| text.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        let mut values = BTreeMap::new();
+        for pair in text.split(',') {
+            let (name, value) = pair.split_once('=').ok_or("a value without a name")?;
+            if values.insert(name, value).is_some() {
+                return Err(format!("{name} stands twice"));
+            }
+        }
+        let value = |name: &str| values.get(name).copied();
         let class = json::word(value("c").ok_or("no class")?);
         let named = self.products.iter().find(|named| named.name == class).ok_or("unknown class")?;
         if writes == (named.repeat == Repeat::InquiryLike) {
             return Err("this class takes the other command".into());
         }
-        let whole = |name| value(name).map(|value| value.parse::<u32>().map_err(|_| format!("bad {name}")));
+        let digits = |value: &&str| value.bytes().all(|b| b.is_ascii_digit());
+        let number = |value: &str| Some(value).filter(digits)?.parse::<u32>().ok();
+        let whole = |name| value(name).map(|value| number(value).ok_or_else(|| format!("bad {name}")));
         let wait = whole("d").ok_or("no d")??;
         let hint = whole("h").transpose()?;
+        if matches!(named.repeat, Repeat::Referenced(_)) && value("k").is_none_or(str::is_empty) {
+            return Err("no k".into());
+        }
+        if self.ids.borrow().contains(id) {
+            return Err("this id is in hand".into());
+        }
         let mut hasher = DefaultHasher::new();
         key.hash(&mut hasher);
         let txn = Txn {
@@ -406,7 +458,10 @@
         }
         let place = counter.first.get() + counter.due.borrow().len() as u64;
         let (to, advises) = (counter.clone(), self.advises);
+        self.ids.borrow_mut().insert(id.clone());
+        let in_hand = InHand(self.ids.clone(), id.clone());
         let txn = self.hub.take(txn, wording(command, self.held.share(size)), move |answer| {
+            drop(in_hand);
             let answer = match answer {
                 Answer::Settled(value) => resp::bulk(&value),
                 Answer::Declined(wait) if advises && !wait.is_zero() => {
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -19,6 +19,8 @@
 
 /// A quiet watch sends an empty line this often.
 const QUIET: Duration = Duration::from_secs(2);
+/// One that says nothing for so long is given up.
+const SILENT: Duration = QUIET.saturating_mul(5).checked_div(4).unwrap();
 /// The longest line of a head, and the most lines.
 const HEAD_LINE: usize = 8 << 10;
 const HEAD_LINES: usize = 100;
@@ -58,7 +60,7 @@
 impl Answer {
     /// With values of at most so many bytes.
     pub fn new(most: usize) -> Self {
-        Answer { state: State::Head(0, Body::Open), line: vec![], values: json::Values::new(most) }
+        Answer { state: State::Head(0, Body::Open), line: vec![], values: json::Values::lines(most) }
     }
 
     fn line(&mut self) -> Result<(), End> {
@@ -247,7 +249,11 @@
         if whole {
             self.appliances.keep_only(&entries.iter().map(|(line, _)| line.appliance).collect());
         }
-        entries.iter().for_each(|(line, at)| self.appliances.place(line.appliance, *at, line.mode));
+        entries.iter().for_each(|(line, at)| self.appliances.place(line, *at));
+        // Names that are gone are forgotten: one that returns gets the same number.
+        let gone = |id: &ApplianceId| entries.iter().any(|(l, _)| l.appliance == *id && l.mode == Mode::Gone);
+        let listed = |id: &ApplianceId| entries.iter().any(|(l, _)| l.appliance == *id);
+        self.numbers.borrow_mut().retain(|_, id| !gone(id) && (!whole || listed(id)));
         count(Count::RosterUpdates);
         let listing = match (saved, whole) {
             (true, _) => Listing::Saved,
@@ -265,7 +271,7 @@
     pub fn fetch(self: &Rc<Self>) {
         let me = self.clone();
         self.hub.spawn(async move {
-            match me.call("/catalog/members".into(), true).await {
+            match me.call("/catalog/members".into(), true, &std::cell::Cell::new(false)).await {
                 Ok(()) => say!("discovery {} ended: {}", me.place.at(), End::Closed),
                 Err(end) => me.failed(end),
             }
@@ -287,8 +293,9 @@
             while !on {
                 on = self.wish.1.recv().await.unwrap_or(false);
             }
-            let (at, before) = (self.place.at(), self.version.get());
-            let call = self.call(format!("/catalog/members?follow=1&since={before}"), false);
+            let (at, heard) = (self.place.at(), std::cell::Cell::new(false));
+            let path = format!("/catalog/members?follow=1&since={}", self.version.get());
+            let call = self.call(path, false, &heard);
             let off = async {
                 while self.wish.1.recv().await.unwrap_or(true) {}
                 Err(End::GivenUp)
@@ -305,7 +312,7 @@
                 Ok(()) => {}
             }
             on = !self.asked;
-            pause = if self.version.get() == before { (pause * 2).min(QUIET) } else { QUIET / 40 };
+            pause = if heard.get() { QUIET / 40 } else { (pause * 2).min(QUIET / 4) };
             if on && within(pause, self.place.moved::<()>()).await == Err(End::Moved) {
                 self.version.set(0);
             }
@@ -313,17 +320,18 @@
     }
 
     /// One call, up to its end, or to its first message.
-    async fn call(&self, path: String, once: bool) -> Result<(), End> {
+    async fn call(&self, path: String, once: bool, heard: &std::cell::Cell<bool>) -> Result<(), End> {
         let at = self.place.at();
         let stream = Rc::new(connect(at, self.connect_within).await?);
         let mut ask = Ring::new(HEAD_LINE);
         ask.put(format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nAccept: application/json\r\n\r\n").as_bytes());
         within(self.connect_within, ask.flush(&stream)).await?;
-        let lists = items(stream, Intake::new(Lines(Answer::new(self.most)), self.most, QUIET * 2));
+        let lists = items(stream, Intake::new(Lines(Answer::new(self.most)), self.most, SILENT));
         pin!(lists);
         loop {
             let next = async { lists.next().await.unwrap_or(Err(End::Closed)) };
-            let (_, Some(list)) = within(QUIET * 2, next).await? else { continue };
+            let (_, Some(list)) = within(SILENT, next).await? else { continue };
+            heard.set(true);
             if self.told(&list, false).is_none() {
                 // The whole list next time: what was missed here cannot be known.
                 self.version.set(0);
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -177,6 +177,7 @@
             Ending::TimedOut => Count::EndedTimedOut,
             Ending::Unconnected => Count::EndedUnconnected,
             Ending::Broken => Count::EndedBroken,
+            Ending::Spoilt => Count::EndedSpoilt,
             Ending::CalledOff => Count::EndedCalledOff,
             Ending::Unsent => Count::EndedUnsent,
         });
--- a/crates/agent/src/json.rs
+++ b/crates/agent/src/json.rs
@@ -120,6 +120,8 @@
 /// Reads one value after another; white space may stand between them.
 pub struct Values {
     most: usize,
+    /// Whether each value stands on a line of its own, so that a line that ends amid one was cut.
+    lines: bool,
     seen: usize,
     open: Vec<Open>,
     state: State,
@@ -135,7 +137,22 @@
     /// Values of at most so many bytes.
     pub fn new(most: usize) -> Self {
         let (open, word) = Default::default();
-        Values { most, seen: 0, open, state: State::Value, naming: false, word, hex: 0, half: None }
+        Values {
+            most,
+            lines: false,
+            seen: 0,
+            open,
+            state: State::Value,
+            naming: false,
+            word,
+            hex: 0,
+            half: None,
+        }
+    }
+
+    /// The same, one to a line.
+    pub fn lines(most: usize) -> Self {
+        Values { lines: true, ..Values::new(most) }
     }
 
     /// The one value that a whole text holds.
@@ -297,6 +314,9 @@
             if let Some(value) = self.byte(b)? {
                 return Ok((i + 1, Some(value)));
             }
+            if self.lines && b == b'\n' && !between {
+                return Err(End::Malformed);
+            }
         }
         Ok((bytes.len(), None))
     }
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -67,10 +67,9 @@
         }))
     }
 
-    /// Passes news on; what cannot be read changes nothing.
+    /// Passes news on; says whether they can be read, and changes nothing if not.
     pub fn told(&self, state: &Json) -> bool {
         let Some(news) = news(state) else {
-            say!("platform {} tells what cannot be read", self.place.at());
             return false;
         };
         count(Count::News);
@@ -105,18 +104,22 @@
         let stream = Rc::new(connect(at, self.connect_within).await?);
         let (_, mut ask) = self.wording("listen", "");
         within(self.connect_within, ask.flush(&stream)).await?;
-        let told = items(stream, Intake::new(json::Values::new(LINE), LINE, PING * 3));
+        let told = items(stream, Intake::new(json::Values::lines(LINE), LINE, PING * 3));
         pin!(told);
         loop {
             let next = async { told.next().await.unwrap_or(Err(End::Closed)) };
             let (_, message) = within(PING * 3, next).await?;
-            heard.set(true);
-            match (message.get("method").and_then(Json::text), message.get("params")) {
-                (Some("ROLLOUT"), Some(state)) => drop(self.told(state)),
-                (Some("ping"), _) => {}
-                _ if message.get("result") == Some(&Json::Truth(true)) => {}
-                _ => say!("platform {} sends what was not asked for", self.place.at()),
+            let fine = match (message.get("method").and_then(Json::text), message.get("params")) {
+                (Some("ROLLOUT"), Some(state)) => self.told(state),
+                (Some("ping"), _) => true,
+                (None, _) => message.get("result") == Some(&Json::Truth(true)),
+                _ => false,
+            };
+            // What was told there is lost; a new connection begins with the state as it is.
+            if !fine {
+                return Err(End::Malformed);
             }
+            heard.set(true);
         }
     }
 
@@ -137,28 +140,20 @@
         );
         self.hub.spawn(async move {
             let written = Cell::new(false);
-            let answer = within(me.answer_within, me.ask(&params, &written)).await;
-            let ending = match &answer {
-                Ok(answer) if answer.get("result").is_some_and(|state| me.told(state)) => Ending::Served,
-                Ok(answer) => match answer.get("error").and_then(|e| e.get("message")).and_then(Json::text) {
-                    Some("limit") => Ending::TurnedAway,
-                    Some("moot") => Ending::Unsent,
-                    Some("error" | "malformed") => Ending::Failed,
-                    // It may have been carried out.
-                    _ => Ending::TimedOut,
-                },
-                Err(_) if !written.get() => Ending::Unconnected,
-                Err(_) => Ending::TimedOut,
+            let ending = match within(me.answer_within, me.ask(&params, &written)).await {
+                Ok(ending) => ending,
+                Err(end) => {
+                    say!("platform {}: a vote's connection ended: {end}", me.place.at());
+                    // It may have been carried out, once it was written.
+                    if written.get() { Ending::TimedOut } else { Ending::Unconnected }
+                }
             };
-            if let Err(end) = answer {
-                say!("platform {}: a vote's connection ended: {end}", me.place.at());
-            }
             me.hub.tell(move |ear| ear.vote_answered(ending));
         });
     }
 
     /// Asks on the kept connection, if it still stands, or on a new one.
-    async fn ask(&self, params: &str, written: &Cell<bool>) -> Result<Json, End> {
+    async fn ask(&self, params: &str, written: &Cell<bool>) -> Result<Ending, End> {
         let kept = self.kept.take();
         let to = self.place.at();
         let kept = kept.filter(|line| line.to == to).and_then(|mut line| {
@@ -173,19 +168,31 @@
             None => Line {
                 to,
                 stream: connect(to, self.connect_within).await?,
-                intake: Intake::new(json::Values::new(LINE), LINE, self.answer_within),
+                intake: Intake::new(json::Values::lines(LINE), LINE, self.answer_within),
             },
         };
         let (id, mut ask) = self.wording("verdict", params);
         ask.flush(&line.stream).await?;
         written.set(true);
-        loop {
-            let answer = line.intake.next(&line.stream).await?.ok_or(End::Closed)?;
-            if answer.get("id").and_then(Json::whole) == Some(id) {
-                self.kept.replace(Some(line));
-                return Ok(answer);
-            }
-            say!("platform {to} answers what was not asked");
+        let answer = line.intake.next(&line.stream).await?.ok_or(End::Closed)?;
+        let asked = answer.get("id").and_then(Json::whole) == Some(id);
+        let ending = if asked { self.read(&answer) } else { None };
+        if ending.is_some() {
+            self.kept.replace(Some(line));
+        }
+        ending.ok_or(End::Malformed)
+    }
+
+    /// How a vote's call ended, by an answer that can be read whole.
+    fn read(&self, answer: &Json) -> Option<Ending> {
+        if let Some(state) = answer.get("result") {
+            return self.told(state).then_some(Ending::Served);
         }
+        Some(match answer.get("error")?.get("message")?.text()? {
+            "limit" => Ending::TurnedAway,
+            "moot" => Ending::Unsent,
+            "error" | "malformed" => Ending::Failed,
+            _ => return None,
+        })
     }
 }
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -20,6 +20,7 @@
 //!     vote gets TEXT / answers BYTES / ends   the next call for a vote
 //!     peer sends BYTES / stranger sends BYTES
 //!     crowd N / disperse           so many clients connect and stay / all of them leave
+//!     later MS                     so much time passes
 //!     files N                      the agent may open so many files
 //!     discovery moves / platform moves   from now on it is another one, elsewhere; the start file says so
 //!     told / told raw BYTES / told nothing   the start file is replaced by one as set, by these bytes, or removed
@@ -30,7 +31,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -52,7 +53,8 @@
 "news-period":6000000,"on-votes":1,"per":"all","reported-share":0.0,"rings":[0.05,0.2,0.5,1.0],"span":4000000,
 "vote-ttl":6000000,"votes-to-revert":1},"feedback":{"how":"probe","names":["lat_ms"]},"instances":2,
 "limits":{"conn-idle":30000000,"connect-timeout":2000000,"max-attempts":3,"max-open":26666,
-"max-retry-after":2000000,"may-cancel":true,"peers":true,"probing":true,"retry-after":true},"me":0,
+"max-retry-after":2000000,"may-cancel":true,"peers":true,"probing":true,"retry-after":true,
+"streams-per-conn":32},"me":0,
 "membership-mode":"push","profiles":[
 {"aim":20000000,"give-up":30000000,"group":"all","late-value":0.0,"name":"read","repeat":"retryable","window":0,"worth":1.0},
 {"aim":20000000,"give-up":30000000,"group":"all","late-value":0.2,"name":"post","repeat":"dedup","window":30000000,"worth":5.0},
@@ -227,8 +229,9 @@
 
 /// An entry of the list, of an appliance that has run for long, but not for ever.
 fn entry(name: &str, at: SocketAddr, state: &str, build: &str) -> String {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock");
-    let started = now.as_millis() - 60_000;
+    static NOW: OnceLock<u128> = OnceLock::new();
+    let now = || SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis();
+    let started = NOW.get_or_init(now) - 60_000;
     format!(
         r#"{{"id":"s-{name}","addr":"{at}","zone":"x","kind":"m","cell":0,"state":"{state}","weight":1.0,
 "started_ms":{started},"release":{build}}}"#
@@ -481,6 +484,7 @@
             ("told", ("raw", text)) => std::fs::write(self.file(), bytes(text)).expect("the start file"),
             ("told", ("nothing", _)) => std::fs::remove_file(self.file()).expect("the start file"),
             ("told", _) => self.write_told(),
+            ("later", _) => thread::sleep(Duration::from_millis(rest.parse().expect("a number"))),
             ("files", _) => self.files = format!("ulimit -n {rest}; "),
             ("roster", ("raw", text)) => self.discovery.write(&bytes(text)),
             ("roster", ("asked", text)) => {
--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside/mod.rs
@@ -86,6 +86,7 @@
             "commands" => in_all_ways(resp::Commands::default, &what, words),
             "answers" => in_all_ways(resp::Values::default, &what, answer),
             "json" => in_all_ways(|| json::Values::new(100), &what, flat),
+            "lines" => in_all_ways(|| json::Values::lines(100), &what, flat),
             "http" => in_all_ways(|| Answer::new(100), &what, flat),
             other => panic!("no parser of {other}"),
         };
@@ -137,12 +138,15 @@
 
 /// So many links, and a stand-in that listens as appliance 1.
 fn linked(links: usize) -> (Rc<Hub>, Rc<Appliances>, TcpListener) {
-    let told = "feedback.names=lat_ms,util\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\n\
+    let told = "feedback.names=lat_ms,util\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\ntick=1\n\
         profiles.count=1\nprofiles.0.give-up=9000000";
     let hub = Hub::new(Duration::ZERO);
     let appliances = Appliances::new(hub.clone(), &Paths::from_lines(told), links).expect("links");
     let post = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    appliances.place(ApplianceId(1), post.local_addr().expect("its address"), Mode::Ready);
+    let (model, build, cell, zone) = Default::default();
+    let (appliance, mode, weight, started) = (ApplianceId(1), Mode::Ready, 1.0, None);
+    let line = Line { appliance, mode, model, weight, started, build, cell, zone };
+    appliances.place(&line, post.local_addr().expect("its address"));
     (hub, appliances, post)
 }
 
@@ -181,7 +185,8 @@
 #[case::none("$-1\r\n", Ending::Served, &[])]
 #[case::nonsense("$9\r\nlat_ms=??\r\n", Ending::Served, &[])]
 #[case::error("-NOPERM\r\n", Ending::Failed, &[])]
-#[case::wrong("*x\r\n", Ending::Broken, &[])]
+#[case::wrong("*x\r\n", Ending::Spoilt, &[])]
+#[case::odd(":3\r\n", Ending::Spoilt, &[])]
 fn probes(#[case] answer: &'static str, #[case] want: Ending, #[case] gauges: &[f32]) {
     let (hub, appliances, post) = linked(9);
     std::thread::spawn(move || {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -643,15 +643,12 @@
         }
         let leg = Leg(h.legs.len() as u8);
         let young = self.jury.own.on_trial(build) && self.thaw.young(&a.line, now);
-        a.sent(
-            now,
-            self.thaw.span,
-            (id, leg),
-            Out { sent: now, work, product: txn.product, build, young, mute: a.barred() },
-        );
-        h.legs.push(Submission { to, build, sent: now, ending: None, called_off: false });
+        let out_there = Out { sent: now, work, product: txn.product, build, young, mute: a.barred() };
+        a.sent(now, self.thaw.span, (id, leg), out_there);
+        let group = (a.line.zone, a.line.cell);
+        h.legs.push(Submission { to, build, group, sent: now, ending: None, called_off: false });
         // Until it is proved not to have run, it may have: the group and window of a repeat are fixed by it.
-        h.risk = h.risk.or(Some((now, a.line.zone, a.line.cell)));
+        h.risk = h.risk.or(Some((now, group.0, group.1)));
         out.submit(id, to, Duration::ZERO);
     }
 
@@ -713,9 +710,10 @@
             }
         }
         // An appliance that breaks connections or fails far more than others of its build is left alone a
-        // while, a build as a whole never: its failures are the test's evidence.
+        // while, a build as a whole never: its failures are the test's evidence. One spoilt answer says little.
         let fails = a.record.fails.share(now, RECENT, 1.0);
-        let worse = !served && many > 0.0 && fails > sum / many + 0.3;
+        let much = if ending == Ending::Spoilt { 0.6 } else { 0.3 };
+        let worse = !served && many > 0.0 && fails > sum / many + much;
         if worse || matches!(ending, Ending::Unconnected | Ending::Broken) {
             strike(&mut a.record, now);
         }
--- a/src/ear.rs
+++ b/src/ear.rs
@@ -28,7 +28,7 @@
         if closed {
             self.desk.held.remove(&id);
         } else if let Some(h) = self.desk.held.get_mut(&id) {
-            h.ended(leg, ending, &self.roster.fleet);
+            h.ended(leg, ending);
         }
     }
 
--- a/src/port.rs
+++ b/src/port.rs
@@ -64,6 +64,8 @@
     TimedOut,
     Unconnected,
     Broken,
+    /// What came back is no answer: it has run, and nobody knows how it ended.
+    Spoilt,
     CalledOff,
     Unsent,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,7 +80,10 @@
 impl Record {
     /// Notes how a submission ended that was sent then.
     pub(crate) fn ended(&mut self, now: Duration, half: Duration, ending: Ending, sent: Duration) {
-        if matches!(ending, Ending::Served | Ending::TurnedAway | Ending::Failed | Ending::Broken) {
+        if matches!(
+            ending,
+            Ending::Served | Ending::TurnedAway | Ending::Failed | Ending::Broken | Ending::Spoilt
+        ) {
             self.heard = now;
             self.passed = self.passed.max(sent);
         }
@@ -146,6 +149,8 @@
 impl Fleet {
     pub(crate) fn list(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
         let whole = matches!(listing, Listing::Whole | Listing::Saved);
+        // Of what is gone nothing is kept but what is out there still.
+        self.0.retain(|_, a| a.line.mode != Mode::Gone || !a.out.is_empty());
         let mut missing: BTreeSet<_> = self.0.keys().copied().filter(|_| whole).collect();
         for line in lines {
             missing.remove(&line.appliance);
@@ -155,7 +160,8 @@
             };
             let a = self.0.entry(line.appliance).or_insert_with(fresh);
             if a.line.started != line.started || a.line.build != line.build {
-                a.record = Record::default();
+                // Another process: what the earlier one had or did is not its own.
+                (a.record, a.out) = Default::default();
             }
             a.line = line;
         }
@@ -206,6 +212,7 @@
 pub(crate) struct Submission {
     pub(crate) to: ApplianceId,
     pub(crate) build: Build,
+    pub(crate) group: (Zone, Cell),
     pub(crate) sent: Duration,
     pub(crate) ending: Option<Ending>,
     pub(crate) called_off: bool,
@@ -235,12 +242,12 @@
     }
 
     /// Notes how a submission ended, and which is now the first that may have run.
-    pub(crate) fn ended(&mut self, leg: Leg, ending: Ending, fleet: &Fleet) {
+    pub(crate) fn ended(&mut self, leg: Leg, ending: Ending) {
         if let Some(l) = self.legs.get_mut(usize::from(leg.0)) {
             l.ending = Some(ending);
         }
         let first = self.legs.iter().find(|l| l.ending.is_none_or(Ending::may_have_run));
-        self.risk = first.and_then(|l| fleet.0.get(&l.to).map(|a| (l.sent, a.line.zone, a.line.cell)));
+        self.risk = first.map(|l| (l.sent, l.group.0, l.group.1));
     }
 
     pub(crate) fn out(&self) -> impl Iterator<Item = (Leg, &Submission)> {
@@ -335,6 +342,7 @@
                 times.pop_front();
             }
         }
+        self.sent.retain(|_, times| !times.is_empty());
     }
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -87,6 +87,8 @@
         "timed-out" => Ending::TimedOut,
         "unconnected" => Ending::Unconnected,
         "called-off" => Ending::CalledOff,
+        "broken" => Ending::Broken,
+        "spoilt" => Ending::Spoilt,
         other => panic!("no ending {other}"),
     }
 }
