--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,14 +46,12 @@
 impl Roster {
     pub(crate) fn update(&mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
         self.fleet.list(listing, lines);
-        self.ask_pause = match (listing, self.ask_within) {
-            // Guards against a lost subscription, and against a storm of calls on a service that is down.
-            (Listing::Failed, Some(within)) => {
-                self.ask_at = Some(now + self.ask_pause.max(within / 20));
-                (self.ask_pause * 2).clamp(within / 10, within / 4)
-            }
-            _ => Duration::ZERO,
-        };
+        let pause = std::mem::take(&mut self.ask_pause);
+        // Guards against a lost subscription, and against a storm of calls on a service that is down.
+        if let (Listing::Failed, Some(within)) = (listing, self.ask_within) {
+            self.ask_at = Some(now + pause.max(within / 20));
+            self.ask_pause = (pause * 2).clamp(within / 10, within / 4);
+        }
     }
 }
 
@@ -199,6 +197,18 @@
 }
 
 impl Jury {
+    /// Whether machines of an earlier stage fail, as younger ones may yet do. Guards against builds that turn
+    /// bad some time after their start. It harms, by a delay, where just these have a trouble of their own.
+    fn ages(&self, fleet: &Fleet, build: Build) -> bool {
+        let test = self.own.tests.get(self.products).filter(|t| t.estimate() > THETA0);
+        let Some(Test { arms, .. }) = test else { return false };
+        let newest =
+            fleet.running(build).iter().filter_map(|(_, a)| a.line.started).max().unwrap_or_default();
+        let old = |a: &Appliance| a.line.started.is_some_and(|s| s + self.dwell < newest) && !a.barred();
+        let by = fleet.running(build).into_iter().filter(|x| old(x.1)).filter_map(|x| arms.by.get(&x.0));
+        by.filter(|b| b.1 / b.0 > arms.means().0 + 2.0 * THETA0).map(|b| b.1).sum::<f64>() >= ENOUGH / 6.0
+    }
+
     /// Those that agents report to: a few, spread by the build, so that hundreds need not hear of each other.
     fn judges(&self, build: Build) -> impl Iterator<Item = AgentId> + use<> {
         let (agents, some) = (self.among.agents.max(1), self.among.agents.clamp(1, JUDGES));
@@ -303,8 +313,8 @@
             return (doubt && now < news.since + self.dwell * 4 / 3).then_some(Verdict::Hold);
         }
         let ring = self.rings.get(usize::from(stage.0)).copied().unwrap_or(1.0);
-        let (trial, early): (Vec<_>, Vec<_>) = roster.fleet.ready().partition(|(_, a)| a.line.build == build);
-        let places = early.len() + if self.rolling { trial.len() } else { 0 };
+        let trial = roster.fleet.running(build);
+        let places = roster.fleet.ready().count() - if self.rolling { 0 } else { trial.len() };
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max()?;
         // The list runs late: a stage whose machines it does not show has not begun to wait.
         let shown = trial.len() as f64 + 0.5 >= ring * places as f64 || now >= news.since + self.dwell * 6;
@@ -319,12 +329,12 @@
     }
 
     fn round(&mut self, now: Duration, roster: &Roster, news: News, lost: f64, out: &mut dyn Decisions) {
-        if lost <= LOST {
-            self.own.well = now;
-        }
-        let doubt = news.course == Course::OnTrial && self.own.tests.iter().any(Test::doubtful);
-        let own = self.own.build == Some(news.build) && self.judging(news.build);
-        if self.among.may_tell && doubt && own && now >= self.own.warn_at {
+        self.own.well = if lost <= LOST { now } else { self.own.well };
+        let tried = news.course == Course::OnTrial && self.own.build == Some(news.build);
+        let ages = tried && self.ages(&roster.fleet, news.build);
+        self.own.warned = if ages { now + self.dwell } else { self.own.warned };
+        let doubt = tried && (ages || self.own.tests.iter().any(Test::doubtful));
+        if self.among.may_tell && doubt && self.judging(news.build) && now >= self.own.warn_at {
             self.own.warn_at = now + self.dwell / 2;
             out.tell(None, &news.build.0.to_be_bytes());
         }
@@ -481,8 +491,7 @@
             }
             return Some(now + self.desk.tick * 8);
         }
-        let hopeless = sla_left.is_zero() && h.terms.late_share <= 0.0;
-        let terms = h.terms;
+        let (terms, hopeless) = (h.terms, sla_left.is_zero() && h.terms.late_share <= 0.0);
         let fresh = h.legs.last().is_none_or(|l| l.ending == Some(Ending::TurnedAway));
         // Resends go on only as far as they have helped of late. Guards against storms over txns that fail
         // wherever they go; harms for a while where a trouble has just passed.
@@ -614,8 +623,7 @@
         None
     }
 
-    /// What a txn may expect to wait there, against the usual there: speed and size are in the odds. Counted
-    /// twice they would crowd the fastest where agents have little out.
+    /// What a txn may expect to wait there, against the usual there: speed and size are in the odds already.
     fn cost(&self, a: &Appliance) -> f64 {
         let across = if a.line.zone == self.roster.zone { 1.0 } else { 2.0 };
         let pace = pace(a, self.now, &self.stock) / usual(a, self.now, &self.stock);
@@ -623,7 +631,7 @@
         across * (1.0 + out) * pace / (1.0 - 0.9 * a.record.fails.share(self.now, RECENT, 1.0))
     }
 
-    /// Whether what waited for its connection may still go. Guards against drains, caps, builds told meanwhile.
+    /// Whether what waited for a connection may still go. Guards against drains, caps, builds told meanwhile.
     pub(crate) fn stands(&self, id: TxnId, leg: Leg) -> bool {
         let Some(h) = self.desk.held.get(&id) else { return false };
         let Some(l) = h.legs.get(usize::from(leg.0)).filter(|l| !l.called_off) else { return false };
@@ -636,7 +644,7 @@
         let (Some(h), Some(a)) = (self.desk.held.get_mut(&id), self.roster.fleet.0.get_mut(&to)) else {
             return;
         };
-        let (txn, build, work) = (h.txn, a.line.build, h.work);
+        let (txn, build, work, group) = (h.txn, a.line.build, h.work, (a.line.zone, a.line.cell));
         if self.exposure.bound(build).is_some() {
             let lane = self.exposure.lane(txn.product);
             self.exposure.windows.sent.entry((lane, build)).or_default().push_back(now);
@@ -645,7 +653,6 @@
         let young = self.jury.own.on_trial(build) && self.thaw.young(&a.line, now);
         let out_there = Out { sent: now, work, product: txn.product, build, young, mute: a.barred() };
         a.sent(now, self.thaw.span, (id, leg), out_there);
-        let group = (a.line.zone, a.line.cell);
         h.legs.push(Submission { to, build, group, sent: now, ending: None, called_off: false });
         // Until it is proved not to have run, it may have: the group and window of a repeat are fixed by it.
         h.risk = h.risk.or(Some((now, group.0, group.1)));
@@ -705,15 +712,12 @@
             }
             self.demand.served(now, (RECENT, USUAL), o.work);
             self.jury.own.work([if took <= sla { o.work } else { 0.0 }, 0.0, 0.0]);
-            if now >= a.record.barred_until {
-                a.record.bar = Duration::ZERO;
-            }
+            a.record.bar = if now < a.record.barred_until { a.record.bar } else { Duration::ZERO };
         }
         // An appliance that breaks connections or fails far more than others of its build is left alone a
-        // while, a build as a whole never: its failures are the test's evidence. One spoilt answer says little.
+        // while, a build as a whole never: its failures are the test's evidence. Spoilt answers say less.
         let fails = a.record.fails.share(now, RECENT, 1.0);
-        let much = if ending == Ending::Spoilt { 0.6 } else { 0.3 };
-        let worse = !served && many > 0.0 && fails > sum / many + much;
+        let worse = many > 0.0 && fails > sum / many + if ending == Ending::Spoilt { 0.6 } else { 0.3 };
         if worse || matches!(ending, Ending::Unconnected | Ending::Broken) {
             strike(&mut a.record, now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -174,6 +174,10 @@
         self.0.iter().filter(|(_, a)| a.line.mode == Mode::Ready).map(|(&id, a)| (id, a))
     }
 
+    pub(crate) fn running(&self, build: Build) -> Vec<(ApplianceId, &Appliance)> {
+        self.ready().filter(|(_, a)| a.line.build == build).collect()
+    }
+
     /// How many others run this build, and the sum of their shares of failures.
     pub(crate) fn mates(&self, now: Duration, half: Duration, at: ApplianceId, build: Build) -> (f64, f64) {
         let mates = self.ready().filter(|(id, a)| *id != at && a.line.build == build);
