--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -107,12 +107,17 @@
     }
 
     /// Whether it stands between commands, with none read in part or waiting to be read. To end it at another time
-    /// would lose a command; but what follows one that cannot be read cannot be read either.
+    /// would lose a command; but what follows one that cannot be read cannot be read either, and one that makes room
+    /// with its first command still on its way has nobody's word for it.
     fn is_between(&self) -> bool {
         let quiet = |stream: Rc<Async<TcpStream>>| {
             stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
         };
-        let deaf = matches!(self.ending.get(), Some(End::Malformed | End::TooLong | End::Flood));
+        let deaf = match self.ending.get() {
+            Some(End::Malformed | End::TooLong | End::Flood) => true,
+            Some(End::Crowded) => !self.used.get(),
+            _ => false,
+        };
         self.due.borrow().is_empty() && (deaf || !self.amid.get() && self.stream.upgrade().is_some_and(quiet))
     }
 
@@ -264,7 +269,7 @@
     }
 
     /// Ends the longest idle connection, if there is one, or the longest idle of those for txns: rather one that has said nothing while a first command had
-    /// time to come. Where even those without room are all, any that stands between commands may go.
+    /// time to come, or only a part of one. Where even those without room are all, any that stands between commands may go.
     fn make_room(&self, for_txns: bool) -> bool {
         let now = self.hub.clock.now();
         let all = self.open.borrow().len() >= self.most;
@@ -272,7 +277,8 @@
             let settles = if all { Duration::ZERO } else { self.settles };
             let rest = if counter.used.get() { settles } else { WHOLE / 4 };
             let among = !(for_txns && counter.brief.get());
-            among && counter.since.get() + rest <= now && counter.is_idle()
+            let begun = !counter.used.get() && counter.ending.get().is_none();
+            among && counter.since.get() + rest <= now && (begun || counter.is_idle())
         };
         let first = |counter: &&Rc<Counter>| (counter.used.get(), counter.since.get());
         let longest = self.open.borrow().values().filter(idle).min_by_key(first).cloned();
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -19,6 +19,7 @@
 //!     news BUILD STAGE STATE CAP   the platform tells;  news raw BYTES: as it is;  news asked: a new listener came
 //!     vote gets TEXT / answers BYTES / ends   the next call for a vote
 //!     peer sends BYTES / stranger sends BYTES
+//!     halves N                     so many clients connect, send a part of a command, and stay
 //!     crowd N / disperse           so many clients connect and stay / all of them leave
 //!     later MS                     so much time passes
 //!     files N                      the agent may open so many files
@@ -472,6 +473,13 @@
                     self.crowd.push(conn);
                 }
             }
+            ("halves", _) => {
+                for _ in 0..rest.parse().expect("a number") {
+                    let conn = self.open();
+                    conn.get_ref().write_all(b"*4\r\n$9\r\nSVC").expect("it is written");
+                    self.crowd.push(conn);
+                }
+            }
             ("disperse", _) => self.crowd.clear(),
             ("discovery", _) => {
                 self.discovery = discovery();
