Clients' connections idle for 2 s end once a quarter of the places are in use

Clients that ask once and stay use up what clients may open (clients.rs ended idle ones only for want of places). Ruled out: half commands, the pace of accepting, turning away.

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -22,7 +22,8 @@
 use crate::resp;
 use crate::ring::{Intake, Ring, items, within};
 
-/// A connection that brings no whole command in this time, from its start or from the command's, ends.
+/// A connection that brings no whole command in this time, from its start or from the command's, ends; an idle one may
+/// end after as long.
 const WHOLE: Duration = Duration::from_secs(2);
 /// After SIGTERM, new connections go on coming for so long; then those that exist end between requests.
 const STILL_COMING: Duration = Duration::from_millis(400);
@@ -285,6 +286,19 @@
         longest.inspect(|counter| counter.end(End::Crowded)).is_some()
     }
 
+    /// Ends connections that have been idle for long, once a quarter of the places are in use: clients bound how many
+    /// they open, and some ask once and stay.
+    pub async fn sweep(self: Rc<Self>) {
+        let mut beat = Timer::interval(WHOLE / 4);
+        while beat.next().await.is_some() {
+            let (open, now) = (self.open.borrow(), self.hub.clock.now());
+            let long = |c: &&Rc<Counter>| c.used.get() && c.since.get() + WHOLE <= now && c.is_idle();
+            if open.values().filter(|c| c.used.get()).count() * 4 >= self.most {
+                open.values().filter(long).for_each(|counter| counter.end(End::Idle));
+            }
+        }
+    }
+
     /// Waits a moment for a connection to be gone.
     async fn moment(&self) {
         let gone = async { self.ended.1.recv().await.map_err(|_| End::Closed) };
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -89,6 +89,7 @@
     let hands =
         hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, wakes: BTreeSet::new() };
     hub.spawn(hands.host(brain));
+    hub.spawn(clients.clone().sweep());
     hub.spawn(clients.clone().accept(listener));
     async_io::block_on(hub.run(signals.serve(clients)));
     Ok(())
