--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -286,14 +286,16 @@
         longest.inspect(|counter| counter.end(End::Crowded)).is_some()
     }
 
-    /// Ends connections that have been idle for long, once a quarter of the places are in use: clients bound how many
-    /// they open, and some ask once and stay.
+    /// Ends connections that have been idle for long, once a quarter of the places are in use, and much sooner once
+    /// half are: clients bound how many they open, and some ask once and stay.
     pub async fn sweep(self: Rc<Self>) {
-        let mut beat = Timer::interval(WHOLE / 4);
+        let mut beat = Timer::interval(self.settles / 4);
         while beat.next().await.is_some() {
             let (open, now) = (self.open.borrow(), self.hub.clock.now());
-            let long = |c: &&Rc<Counter>| c.used.get() && c.since.get() + WHOLE <= now && c.is_idle();
-            if open.values().filter(|c| c.used.get()).count() * 4 >= self.most {
+            let used = open.values().filter(|c| c.used.get()).count();
+            let rest = if used * 2 >= self.most { self.settles } else { WHOLE };
+            let long = |c: &&Rc<Counter>| c.used.get() && c.since.get() + rest <= now && c.is_idle();
+            if used * 4 >= self.most {
                 open.values().filter(long).for_each(|counter| counter.end(End::Idle));
             }
         }
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -7,7 +7,7 @@
 //!     client N SENDS               a command on client N's connection, which opens first; d stands for d=30000
 //!     client N raw BYTES           bytes as they are, with \r \n \xHH and <COUNT*BYTES>
 //!     client N reads ANSWER        one whole answer: $VALUE, -TEXT or +TEXT, to where it ends in *
-//!     client N opens / leaves / ended   it opens its connection / closes it / finds it closed
+//!     client N opens / leaves / ended [MS]   it opens its connection / closes it / finds it closed, so soon
 //!     NAME gets COMMAND            the next command that any connection brings it; a `*` stands for anything
 //!     NAME answers BYTES           on the connection of that command
 //!     NAME turns ID                goes back to the connection that brought this one
@@ -27,7 +27,7 @@
 //!     told / told raw BYTES / told nothing   the start file is replaced by one as set, by these bytes, or removed
 //!     signal NAME / counter NAME N / ends CODE / log TEXT
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -398,8 +398,11 @@
             "opens" => {}
             "leaves" => drop(self.clients.remove(name)),
             "ended" => {
-                let mut rest = [0; 1];
-                assert_eq!(conn.read(&mut rest).unwrap_or(0), 0, "client {name} is still served");
+                let within = rest.parse().map_or(PATIENCE, Duration::from_millis);
+                conn.get_ref().set_read_timeout(Some(within)).expect("a time-out");
+                let got = conn.read(&mut [0]);
+                let late = matches!(&got, Err(fault) if fault.kind() == ErrorKind::WouldBlock);
+                assert!(!late && got.unwrap_or(0) == 0, "client {name} is still served");
             }
             _ => {
                 let what = if what.contains(",d=") { what.into() } else { what.replace(",d", ",d=30000") };
