--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -2,7 +2,7 @@
 //! one up hurts no other. It must never send anything twice, say that a submission never ran when its last byte may
 //! have gone out, nor take for an answer what came behind another; which appliance serves what is not its to decide.
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -121,14 +121,10 @@
     }
 
     /// Notes that a whole list names these alone.
-    pub fn keep_only(&self, listed: &BTreeSet<ApplianceId>) {
-        self.homes.borrow_mut().retain(|id, home| {
-            let stays = listed.contains(id);
-            if !stays {
-                close(&mut home.idle, End::Gone);
-            }
-            stays
-        });
+    pub fn keep_only(&self, listed: impl Fn(&ApplianceId) -> bool) {
+        for (_, mut home) in self.homes.borrow_mut().extract_if(|id, _| !listed(id)) {
+            close(&mut home.idle, End::Gone);
+        }
     }
 
     /// Whether there is one that takes txns.
--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -269,8 +269,9 @@
         counter.brief.get()
     }
 
-    /// Ends the longest idle connection, if there is one, or the longest idle of those for txns: rather one that has said nothing while a first command had
-    /// time to come, or only a part of one. Where even those without room are all, any that stands between commands may go.
+    /// Ends the longest idle connection, if there is one, or the longest idle of those for txns: rather one that has
+    /// said nothing while a first command had time to come, or only a part of one. Where even those without room are
+    /// all, any that stands between commands may go.
     fn make_room(&self, for_txns: bool) -> bool {
         let now = self.hub.clock.now();
         let all = self.open.borrow().len() >= self.most;
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Owns the talk with discovery: the list of appliances, once or as a watch on its changes, over HTTP with chunks. It
 //! must never pass on half a message, nor forget the last good list because of a bad one.
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -246,14 +246,14 @@
             return None;
         }
         self.version.set(version);
+        let listed: BTreeMap<_, _> = entries.iter().map(|(line, _)| (line.appliance, line.mode)).collect();
         if whole {
-            self.appliances.keep_only(&entries.iter().map(|(line, _)| line.appliance).collect());
+            self.appliances.keep_only(|id| listed.contains_key(id));
         }
         entries.iter().for_each(|(line, at)| self.appliances.place(line, *at));
         // Names that are gone are forgotten: one that returns gets the same number.
-        let gone = |id: &ApplianceId| entries.iter().any(|(l, _)| l.appliance == *id && l.mode == Mode::Gone);
-        let listed = |id: &ApplianceId| entries.iter().any(|(l, _)| l.appliance == *id);
-        self.numbers.borrow_mut().retain(|_, id| !gone(id) && (!whole || listed(id)));
+        let stays = |id: &ApplianceId| listed.get(id).map_or(!whole, |mode| *mode != Mode::Gone);
+        self.numbers.borrow_mut().retain(|_, id| stays(id));
         count(Count::RosterUpdates);
         let listing = match (saved, whole) {
             (true, _) => Listing::Saved,
@@ -300,21 +300,21 @@
                 while self.wish.1.recv().await.unwrap_or(true) {}
                 Err(End::GivenUp)
             };
-            match call.or(off).or(self.place.moved()).await {
-                Err(End::Moved) => {
-                    // Another service may count its versions otherwise: the whole list, at once.
-                    say!("discovery {at} ended: {}", End::Moved);
-                    self.version.set(0);
-                    pause = QUIET / 40;
-                    continue;
-                }
+            let mut end = call.or(off).or(self.place.moved()).await;
+            match end {
+                Err(End::Moved) => say!("discovery {at} ended: {}", End::Moved),
                 Err(end) => self.failed(end),
                 Ok(()) => {}
             }
-            on = !self.asked;
             pause = if heard.get() { QUIET / 40 } else { (pause * 2).min(QUIET / 4) };
-            if on && within(pause, self.place.moved::<()>()).await == Err(End::Moved) {
+            if end != Err(End::Moved) {
+                on = !self.asked;
+                end = if on { within(pause, self.place.moved()).await } else { end };
+            }
+            if end == Err(End::Moved) {
+                // Another service may count its versions otherwise: the whole list, at once.
                 self.version.set(0);
+                pause = QUIET / 40;
             }
         }
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -202,10 +202,10 @@
     fn ages(&self, fleet: &Fleet, build: Build) -> bool {
         let test = self.own.tests.get(self.products).filter(|t| t.estimate() > THETA0);
         let Some(Test { arms, .. }) = test else { return false };
-        let newest =
-            fleet.running(build).iter().filter_map(|(_, a)| a.line.started).max().unwrap_or_default();
+        let trial = fleet.running(build);
+        let newest = trial.iter().filter_map(|(_, a)| a.line.started).max().unwrap_or_default();
         let old = |a: &Appliance| a.line.started.is_some_and(|s| s + self.dwell < newest) && !a.barred();
-        let by = fleet.running(build).into_iter().filter(|x| old(x.1)).filter_map(|x| arms.by.get(&x.0));
+        let by = trial.iter().filter(|x| old(x.1)).filter_map(|x| arms.by.get(&x.0));
         by.filter(|b| b.1 / b.0 > arms.means().0 + 2.0 * THETA0).map(|b| b.1).sum::<f64>() >= ENOUGH / 6.0
     }
 
