The module hears what an operator's rules leave open, and keeps within it

One new call on the port, openings, hands over a table by build, zone, firm and product. A closed build takes nothing new, what waits for its link is asked for again, a txn that only closed builds could take is given up at once, no on goes out while the step is held (under a clock: hold), and a back is never held up.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,8 +93,16 @@
         }
     }
 
+    /// Whether the operator's rules leave a build open there for a txn; without any all are.
+    fn open(&self, build: Build, zone: Zone, h: &Held) -> bool {
+        self.openings.as_ref().is_none_or(|o| o.admits(build, zone, h.txn.tenant, h.txn.product))
+    }
+
     /// Whether a txn may go to a build at all.
-    fn admits(&self, build: Build, h: &Held) -> bool {
+    fn admits(&self, build: Build, zone: Zone, h: &Held) -> bool {
+        if !self.open(build, zone, h) {
+            return false;
+        }
         let Some((stage, cap)) = self.bound(build) else {
             let onward = |n: News| build < n.build && matches!(n.course, Course::OnTrial | Course::Released);
             let answered = h.txn.mark.is_some_and(|m| self.windows.answered.contains(&m));
@@ -103,8 +111,8 @@
         cap > 0.0 && (stage.0 >= self.guarded || h.terms.repeat == Repeat::InquiryLike)
     }
 
-    fn permits(&self, now: Duration, build: Build, h: &Held) -> bool {
-        let admitted = self.admits(build, h);
+    fn permits(&self, now: Duration, Line { build, zone, .. }: Line, h: &Held) -> bool {
+        let admitted = self.admits(build, zone, h);
         let Some((_, cap)) = self.bound(build).filter(|_| admitted) else { return admitted };
         // Strictly inside the window, by a tick: an arrival at its very edge may not be counted.
         let edge = (now + self.tick + Duration::from_micros(1)).saturating_sub(self.span);
@@ -292,7 +300,8 @@
         self.own.tests.push(Test::new(40.0 * THETA0, 6.0 * TAU, level));
     }
 
-    fn verdict(&self, now: Duration, roster: &Roster, news: News, lost: f64) -> Option<Verdict> {
+    /// `stays` while the operator's rules let no step on be asked for; a back is never held up.
+    fn verdict(&self, now: Duration, roster: &Roster, news: News, lost: f64, stays: bool) -> Option<Verdict> {
         let News { build, stage, course, .. } = news;
         if !matches!(course, Course::OnTrial | Course::Released) || self.own.build != Some(build) {
             return None;
@@ -310,7 +319,7 @@
         }
         let doubt = self.own.tests.iter().any(Test::doubtful) || lost > LOST / 2.0;
         if self.gate == Gate::Clocked {
-            return (doubt && now < news.since + self.dwell * 4 / 3).then_some(Verdict::Hold);
+            return (stays || doubt && now < news.since + self.dwell * 4 / 3).then_some(Verdict::Hold);
         }
         let ring = self.rings.get(usize::from(stage.0)).copied().unwrap_or(1.0);
         let trial = roster.fleet.running(build);
@@ -325,10 +334,13 @@
         // The judges go first; others stand in, spread by chance, if none of them speaks.
         let stand_in = if self.judging(build) { 0.0 } else { 1.0 + 2.0 * self.own.turn };
         let due = newest + WAIT * waits + WAIT.mul_f64(stand_in);
-        (shown && now >= due && now >= news.since + self.dwell).then_some(Verdict::On)
+        (shown && !stays && now >= due && now >= news.since + self.dwell).then_some(Verdict::On)
     }
 
-    fn round(&mut self, now: Duration, roster: &Roster, news: News, lost: f64, out: &mut dyn Decisions) {
+    fn round(
+        &mut self, now: Duration, roster: &Roster, news: News, (lost, stays): (f64, bool),
+        out: &mut dyn Decisions,
+    ) {
         self.own.well = if lost <= LOST { now } else { self.own.well };
         let tried = news.course == Course::OnTrial && self.own.build == Some(news.build);
         let ages = tried && self.ages(&roster.fleet, news.build);
@@ -338,7 +350,7 @@
             self.own.warn_at = now + self.dwell / 2;
             out.tell(None, &news.build.0.to_be_bytes());
         }
-        let Some(verdict) = self.verdict(now, roster, news, lost) else { return };
+        let Some(verdict) = self.verdict(now, roster, news, lost, stays) else { return };
         let ballot = (news.build, news.stage, verdict);
         if let Some(last) = self.own.vote.as_ref().filter(|v| v.ballot == ballot) {
             let again = match last.answer {
@@ -422,7 +434,9 @@
         }
         if let Some(news) = self.exposure.news {
             self.jury.report(now, self.stock.woke, news, self.chance.random_range(0.5..0.8), out);
-            self.jury.round(now, &self.roster, news, self.stock.lost, out);
+            let openings = self.exposure.openings.as_ref();
+            let stays = openings.is_some_and(|o| !o.may_step(news.build, news.stage));
+            self.jury.round(now, &self.roster, news, (self.stock.lost, stays), out);
         }
         let beat = beat.max(now + self.desk.tick * 2);
         if self.stock.wake_at <= now || beat < self.stock.wake_at {
@@ -503,6 +517,10 @@
             return None;
         }
         let Some(to) = self.choose(id) else {
+            if self.shut_out(id) {
+                self.give_up(id, out);
+                return None;
+            }
             self.stock.next = now;
             return Some(now + self.desk.tick * 2);
         };
@@ -553,7 +571,9 @@
         self.stock.panic = 2 * sick > fleet.ready().count();
         let (mut listed, mut out) = ([0.0; 2], [0.0; 2]);
         let (mut seats, mut sums): ([Vec<Seat>; 2], _) = (Default::default(), [0.0; 2]);
-        for (id, a) in fleet.ready().filter(|(_, a)| !shut(a, now, self.stock.panic)) {
+        // What is closed to all takes no part, or the share of the rest would be too large.
+        let open = |l: &Line| self.exposure.openings.as_ref().is_none_or(|o| o.any(l.build, l.zone));
+        for (id, a) in fleet.ready().filter(|(_, a)| !shut(a, now, self.stock.panic) && open(&a.line)) {
             let weight = a.weight() * self.thaw.warmth(a.age(now));
             let arm = usize::from(self.exposure.bound(a.line.build).is_some());
             listed[arm] += weight;
@@ -587,7 +607,15 @@
             && !shut(a, self.now, self.stock.panic)
             && (!a.barred() || self.stock.panic || h.terms.repeat != Repeat::OnceOnly)
             && self.thaw.bears(self.now, a, fair, h, self.stock.due)
-            && self.exposure.permits(self.now, a.line.build, h)
+            && self.exposure.permits(self.now, a.line, h)
+    }
+
+    /// Whether all that could take a txn is closed by the operator's rules. Guards against holding it in vain.
+    fn shut_out(&self, id: TxnId) -> bool {
+        let Some(h) = self.desk.held.get(&id) else { return false };
+        let mut ready = self.roster.fleet.ready().filter(|(_, a)| h.in_group(&a.line)).peekable();
+        let open = |(_, a): (_, &Appliance)| self.exposure.open(a.line.build, a.line.zone, h);
+        ready.peek().is_some() && !ready.any(open)
     }
 
     /// Two random choices by weight within an arm; the arm by the trial build's share of the listed weight.
@@ -636,7 +664,7 @@
         let Some(h) = self.desk.held.get(&id) else { return false };
         let Some(l) = h.legs.get(usize::from(leg.0)).filter(|l| !l.called_off) else { return false };
         let same = |a: &Appliance| a.line.mode == Mode::Ready && a.line.build == l.build;
-        self.roster.fleet.0.get(&l.to).is_some_and(same) && self.exposure.admits(l.build, h)
+        self.roster.fleet.0.get(&l.to).is_some_and(same) && self.exposure.admits(l.build, l.group.0, h)
     }
 
     fn submit(&mut self, id: TxnId, to: ApplianceId, out: &mut dyn Decisions) {
--- a/src/ear.rs
+++ b/src/ear.rs
@@ -1,9 +1,11 @@
 //! What the decision module hears goes into its state here; whatever is to be decided is asked of `brain.rs`.
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
 
 use crate::brain::{Brain, USUAL};
+use crate::openings::Openings;
 use crate::port::*;
 use crate::state::*;
 
@@ -74,6 +76,11 @@
         }
     }
 
+    fn openings(&mut self, open: Option<Arc<Openings>>) {
+        self.exposure.openings = open;
+        self.stock.next = Duration::ZERO;
+    }
+
     fn vote_answered(&mut self, ending: Ending) {
         if let Some(vote) = &mut self.jury.own.vote {
             vote.answer = Some(ending);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod brain;
 mod ear;
+pub mod openings;
 pub mod parts;
 pub mod port;
 mod report;
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -1,7 +1,9 @@
 //! The parts of the decision module, each with its own few settings. How they decide is in `brain.rs`.
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::openings::Openings;
 use crate::port::*;
 use crate::state::*;
 
@@ -45,6 +47,8 @@
     pub(crate) per_product: bool,
     pub(crate) guarded: u8,
     pub(crate) forward_only: bool,
+    /// What the operator's own rules leave open; nothing is closed without any.
+    pub(crate) openings: Option<Arc<Openings>>,
     pub(crate) news: Option<News>,
     pub(crate) windows: Windows,
 }
@@ -59,8 +63,8 @@
         span: Duration, tick: Duration, free: f64, first_cap: f64, per_product: bool, guarded: u8,
         forward_only: bool,
     ) -> Self {
-        let (news, windows) = Default::default();
-        Exposure { span, tick, free, first_cap, per_product, guarded, forward_only, news, windows }
+        let (openings, news, windows) = Default::default();
+        Exposure { span, tick, free, first_cap, per_product, guarded, forward_only, openings, news, windows }
     }
 }
 
--- a/src/port.rs
+++ b/src/port.rs
@@ -1,7 +1,10 @@
 //! The interface of the decision module: ids, plain enums, what the module hears and what it decides.
 //! Nothing here decides anything. Times are spans since the start.
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::openings::Openings;
+
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
@@ -199,6 +202,8 @@
         _age: Duration,
     ) {
     }
+    /// What the operator's own rules leave open from now on; with none, they close nothing.
+    fn openings(&mut self, _open: Option<Arc<Openings>>) {}
     fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration);
     fn woken(&mut self, _ticket: Ticket) {}
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,6 +7,8 @@
 //!     ended ID/LEG APPLIANCE ENDING TOOK [closed] | stage BUILD STAGE COURSE CAP     | voted ENDING
 //!     burst MANY PRODUCT                   so many txns in one round
 //!     go ID/LEG yes|no                     whether it may still go after a wait for its connection
+//!     open on|hold [BUILD:ZONE[:PRODUCTS]] ..  all that is open, as a mask of products, with the step on or without;
+//!                                          open all: the operator's rules are gone
 //!     wrong APPLIANCE PRODUCT AGO          an answer sent so long ago was found wrong
 //!     report FROM BUILD SERIAL T/U/A [ID:PRODUCT:MANY:BAD ..]  a peer's report: work in time, usual, asked, counts
 //!     restart                                       the agent dies and comes back
@@ -17,9 +19,11 @@
 //!     test X-BAD X-ALL Y-BAD Y-ALL p P     the statistic alone, at theta0 0.02, tau 0.1, alpha 0.05
 use std::collections::{BTreeMap, VecDeque};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use lilacgate::brain::{Brain, Test};
+use lilacgate::openings::Openings;
 use lilacgate::parts::*;
 use lilacgate::port::*;
 use rstest::rstest;
@@ -261,6 +265,19 @@
                 }
                 self.round(|ear| ear.peer(AgentId(num(from)), &octets));
             }
+            ["open", "all"] => self.round(|ear| ear.openings(None)),
+            ["open", step, cells @ ..] => {
+                let mut rows = BTreeMap::<u16, [u64; 3]>::new();
+                for cell in cells {
+                    let of: Vec<u64> = cell.split(':').map(|n| n.parse().expect("a number")).collect();
+                    let row = rows.entry(of[0] as u16).or_default();
+                    row[of[1] as usize] = of.get(2).copied().unwrap_or(u64::MAX);
+                }
+                let rows: Vec<_> = rows.iter().map(|(b, row)| (Build(*b), &row[..])).collect();
+                let step = (*step == "on").then(|| (rows.last().expect("a row").0, Stage(0)));
+                let open = Arc::new(Openings::new(3, 1, &rows, step));
+                self.round(|ear| ear.openings(Some(open)));
+            }
             ["restart"] => self.brain = None,
             ["flow", until, product, fails @ ..] => {
                 let pair = |f: &&str| f.split_once('=').map(|(b, n)| (b.to_string(), n.parse().expect("N")));
