--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 	cargo build --release
 
 test:
+	.ci/tools
 	cargo test --workspace --locked
 
 lint:
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -610,7 +610,7 @@
             && self.exposure.permits(self.now, a.line, h)
     }
 
-    /// Whether all that could take a txn is closed by the operator's rules. Guards against holding it in vain.
+    /// Whether the rules close all that could take a txn. Guards against holding it in vain.
     fn shut_out(&self, id: TxnId) -> bool {
         let Some(h) = self.desk.held.get(&id) else { return false };
         let mut ready = self.roster.fleet.ready().filter(|(_, a)| h.in_group(&a.line)).peekable();
