The agent narrows its module by an operator's file; the hub names no front any more

A gate stands beside the module in its owner's task and hears news, the list, other services' desks and the time on their way to the module; its table goes to the module in the same round. Without a file nothing changes.

--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -13,7 +13,7 @@
 use lilacgate::port::*;
 use lilacgate_start::Paths;
 
-use crate::hub::{Clock, Hub, Wording};
+use crate::hub::{Carries, Clock, Hub, Wording};
 use crate::log::{Count, End, count, say};
 use crate::resp::{self, Resp};
 use crate::ring::{Intake, Ring, connect, within};
@@ -132,12 +132,6 @@
         self.homes.borrow().values().any(|home| home.mode == Mode::Ready)
     }
 
-    pub fn free_links(&self, id: ApplianceId) {
-        if let Some(home) = self.homes.borrow_mut().get_mut(&id) {
-            close(&mut home.idle, End::GivenUp);
-        }
-    }
-
     /// Closes what has been idle for long, or was closed by the other side.
     pub async fn sweep(self: Rc<Self>) {
         let mut beat = Timer::interval(self.idle_for / 20);
@@ -200,46 +194,6 @@
         }
     }
 
-    pub fn submit(
-        self: &Rc<Self>, which: (TxnId, Leg), to: ApplianceId, wording: Wording, began: Duration,
-        until: Duration,
-    ) {
-        let (off, called_off) = async_channel::bounded::<()>(1);
-        self.out.borrow_mut().insert(which, off);
-        let me = self.clone();
-        self.hub.spawn(async move {
-            let written = Cell::new(false);
-            let over = async {
-                me.clock().until(until).await;
-                Err(Ending::TimedOut)
-            };
-            let off = async {
-                called_off.recv().await.ok();
-                Err(Ending::CalledOff)
-            };
-            let work = me.attempt(which, to, wording, until, &written);
-            let ended = work.or(off).or(over).await;
-            me.out.borrow_mut().remove(&which);
-            let (ending, value) = match ended {
-                Ok(answered) => {
-                    me.tell_load(to, answered.load);
-                    (answered.ending, answered.value)
-                }
-                // What was never written whole has never run.
-                Err(Ending::TimedOut | Ending::CalledOff) if !written.get() => (Ending::Unsent, Vec::new()),
-                Err(ending) => (ending, Vec::new()),
-            };
-            let took = me.clock().now().saturating_sub(began);
-            me.hub.ended(which, to, ending, took, value);
-        });
-    }
-
-    pub fn call_off(&self, which: (TxnId, Leg)) {
-        if let Some(off) = self.out.borrow().get(&which) {
-            off.try_send(()).ok();
-        }
-    }
-
     async fn attempt(
         &self, which: (TxnId, Leg), to: ApplianceId, wording: Wording, until: Duration, written: &Cell<bool>,
     ) -> Result<Answered, Ending> {
@@ -299,11 +253,67 @@
         Err(if matches!(link.why, End::Malformed | End::TooLong) { Ending::Spoilt } else { Ending::Broken })
     }
 
+    /// Passes a load report on; fields that it lacks are not numbers.
+    fn tell_load(&self, from: ApplianceId, report: Option<Vec<u8>>) {
+        let Some(report) = report.and_then(|report| String::from_utf8(report).ok()) else { return };
+        let field = |name: &String| {
+            let value =
+                report.split(',').find_map(|pair| pair.strip_prefix(name.as_str())?.strip_prefix('='));
+            value.and_then(|value| value.trim().parse().ok()).unwrap_or(f32::NAN)
+        };
+        let gauges: Vec<f32> = self.gauges.iter().map(field).collect();
+        if gauges.iter().any(|gauge| gauge.is_finite()) {
+            self.hub.tell(move |ear| ear.load(from, &gauges));
+        }
+    }
+}
+
+impl Carries for Appliances {
+    fn submit(
+        self: Rc<Self>, which: (TxnId, Leg), to: ApplianceId, wording: Wording, began: Duration,
+        until: Duration,
+    ) {
+        let (off, called_off) = async_channel::bounded::<()>(1);
+        self.out.borrow_mut().insert(which, off);
+        let me = self.clone();
+        self.hub.clone().spawn(async move {
+            let written = Cell::new(false);
+            let over = async {
+                me.clock().until(until).await;
+                Err(Ending::TimedOut)
+            };
+            let off = async {
+                called_off.recv().await.ok();
+                Err(Ending::CalledOff)
+            };
+            let work = me.attempt(which, to, wording, until, &written);
+            let ended = work.or(off).or(over).await;
+            me.out.borrow_mut().remove(&which);
+            let (ending, value) = match ended {
+                Ok(answered) => {
+                    me.tell_load(to, answered.load);
+                    (answered.ending, answered.value)
+                }
+                // What was never written whole has never run.
+                Err(Ending::TimedOut | Ending::CalledOff) if !written.get() => (Ending::Unsent, Vec::new()),
+                Err(ending) => (ending, Vec::new()),
+            };
+            let took = me.clock().now().saturating_sub(began);
+            me.hub.ended(which, to, ending, took, value);
+        });
+    }
+
+    fn call_off(&self, which: (TxnId, Leg)) {
+        if let Some(off) = self.out.borrow().get(&which) {
+            off.try_send(()).ok();
+        }
+    }
+
     /// Asks an appliance for its load.
-    pub fn probe(self: &Rc<Self>, to: ApplianceId) {
+    fn probe(self: Rc<Self>, to: ApplianceId) {
         count(Count::Probes);
         let me = self.clone();
-        self.hub.spawn(async move {
+        self.hub.clone().spawn(async move {
             let began = me.clock().now();
             let ask = async {
                 let mut link = match me.idle_link(to) {
@@ -329,17 +339,9 @@
         });
     }
 
-    /// Passes a load report on; fields that it lacks are not numbers.
-    fn tell_load(&self, from: ApplianceId, report: Option<Vec<u8>>) {
-        let Some(report) = report.and_then(|report| String::from_utf8(report).ok()) else { return };
-        let field = |name: &String| {
-            let value =
-                report.split(',').find_map(|pair| pair.strip_prefix(name.as_str())?.strip_prefix('='));
-            value.and_then(|value| value.trim().parse().ok()).unwrap_or(f32::NAN)
-        };
-        let gauges: Vec<f32> = self.gauges.iter().map(field).collect();
-        if gauges.iter().any(|gauge| gauge.is_finite()) {
-            self.hub.tell(move |ear| ear.load(from, &gauges));
+    fn free_links(&self, id: ApplianceId) {
+        if let Some(home) = self.homes.borrow_mut().get_mut(&id) {
+            close(&mut home.idle, End::GivenUp);
         }
     }
 }
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -12,7 +12,7 @@
 use lilacgate_start::Paths;
 
 use crate::appliances::Appliances;
-use crate::hub::Hub;
+use crate::hub::{Hub, Lists};
 use crate::json::{self, Json};
 use crate::log::{Count, End, count, say};
 use crate::ring::{Intake, Parse, Place, Ring, connect, items, within};
@@ -264,20 +264,6 @@
         Some(())
     }
 
-    pub fn watch(&self, on: bool) {
-        self.wish.0.try_send(on).ok();
-    }
-
-    pub fn fetch(self: &Rc<Self>) {
-        let me = self.clone();
-        self.hub.spawn(async move {
-            match me.call("/catalog/members".into(), true, &std::cell::Cell::new(false)).await {
-                Ok(()) => say!("discovery {} ended: {}", me.place.at(), End::Closed),
-                Err(end) => me.failed(end),
-            }
-        });
-    }
-
     fn failed(&self, end: End) {
         say!("discovery {} ended: {end}", self.place.at());
         if self.asked {
@@ -344,6 +330,22 @@
     }
 }
 
+impl Lists for Discovery {
+    fn watch(&self, on: bool) {
+        self.wish.0.try_send(on).ok();
+    }
+
+    fn fetch(self: Rc<Self>) {
+        let me = self.clone();
+        self.hub.clone().spawn(async move {
+            match me.call("/catalog/members".into(), true, &std::cell::Cell::new(false)).await {
+                Ok(()) => say!("discovery {} ended: {}", me.place.at(), End::Closed),
+                Err(end) => me.failed(end),
+            }
+        });
+    }
+}
+
 /// The same, where whatever comes is an item: a sign of life, if it ends no value.
 struct Lines(Answer);
 
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -1,6 +1,6 @@
 //! Owns the decision module: its clock, the queue of all that it is to hear, its rounds, and the way of its decisions
-//! to whoever carries them out. Nothing else may call the module, and no protocol is known here. It must never wait
-//! within a round, nor decide anything itself.
+//! to whoever carries them out, who hand their writers in. Nothing else may call the module, and neither a front nor
+//! a protocol is known here. It must never wait within a round, nor decide anything itself.
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::future::Future;
@@ -14,14 +14,38 @@
 use lilacgate::brain::Brain;
 use lilacgate::port::*;
 
-use crate::appliances::Appliances;
-use crate::discovery::Discovery;
 use crate::log::{Count, count, say};
-use crate::peers::Peers;
-use crate::platform::Platform;
+use crate::releases::{Ears, Keeper};
+
+/// Something that the module is to hear, or the gate beside it.
+type Call = Box<dyn FnOnce(&mut Ears)>;
+
+/// Carries submissions and probes to appliances.
+pub trait Carries {
+    fn submit(
+        self: Rc<Self>, which: (TxnId, Leg), to: ApplianceId, wording: Wording, began: Duration,
+        until: Duration,
+    );
+    fn call_off(&self, which: (TxnId, Leg));
+    fn probe(self: Rc<Self>, to: ApplianceId);
+    fn free_links(&self, id: ApplianceId);
+}
+
+/// Asks for the list of appliances.
+pub trait Lists {
+    fn watch(&self, on: bool);
+    fn fetch(self: Rc<Self>);
+}
 
-/// Something that the module is to hear.
-type Call = Box<dyn FnOnce(&mut dyn Hears)>;
+/// Casts votes.
+pub trait Votes {
+    fn vote(self: Rc<Self>, build: Build, stage: Stage, verdict: Verdict);
+}
+
+/// Tells peers.
+pub trait Tells {
+    fn tell(&self, peer: Option<AgentId>, octets: &[u8]);
+}
 
 /// Spans since the zero point of the machines' common clock, long before any start, so that what started before
 /// this agent has its place; they only go forward.
@@ -96,14 +120,14 @@
     }
 
     /// Puts something in the queue for the next round.
-    pub fn tell(&self, call: impl FnOnce(&mut dyn Hears) + 'static) {
+    pub fn tell(&self, call: impl FnOnce(&mut Ears) + 'static) {
         count(Count::Calls);
         // The queue has no bound of its own, and lives as long as the hub: what fills it has bounds.
         self.queue.0.try_send(Box::new(call)).ok();
     }
 
     /// Makes all calls that are queued.
-    pub fn hear(&self, ear: &mut dyn Hears) {
+    pub fn hear(&self, ear: &mut Ears) {
         while let Ok(call) = self.queue.1.try_recv() {
             call(ear);
         }
@@ -198,10 +222,12 @@
 /// Where decisions go; all of them return at once, and what takes time is a task of its own.
 pub struct Hands {
     pub hub: Rc<Hub>,
-    pub appliances: Rc<Appliances>,
-    pub discovery: Rc<Discovery>,
-    pub platform: Rc<Platform>,
-    pub peers: Option<Rc<Peers>>,
+    pub appliances: Rc<dyn Carries>,
+    pub discovery: Rc<dyn Lists>,
+    pub platform: Rc<dyn Votes>,
+    pub peers: Option<Rc<dyn Tells>>,
+    /// What the operator's own rules leave open.
+    pub keeper: Keeper,
     /// The module's own wake-ups that are not due yet.
     pub wakes: BTreeSet<(Duration, Ticket)>,
 }
@@ -212,7 +238,7 @@
         let queue = self.hub.queue.1.clone();
         let (hub, clock) = (self.hub.clone(), self.hub.clock);
         loop {
-            let next = self.wakes.first().map(|(at, _)| *at);
+            let next = self.wakes.first().map(|(at, _)| *at).into_iter().chain(self.keeper.next()).min();
             let alarm = async {
                 match next {
                     Some(at) => clock.until(at).await,
@@ -230,15 +256,19 @@
             }
             count(Count::Rounds);
             self.wakes.retain(|(at, _)| *at > now);
+            let mut keeper = std::mem::take(&mut self.keeper);
             brain.round(
                 now,
-                |ear| {
-                    first.into_iter().for_each(|call: Call| call(ear));
-                    hub.hear(ear);
-                    due.iter().for_each(|(_, ticket)| ear.woken(*ticket));
+                |module| {
+                    let mut ears = Ears { module, keeper: &mut keeper, now };
+                    ears.advance();
+                    first.into_iter().for_each(|call: Call| call(&mut ears));
+                    hub.hear(&mut ears);
+                    due.iter().for_each(|(_, ticket)| ears.woken(*ticket));
                 },
                 &mut Round { hands: &mut self, now },
             );
+            self.keeper = keeper;
         }
     }
 }
@@ -261,7 +291,7 @@
         let until =
             if give_up_after.is_zero() { owed.until } else { owed.until.min(self.now + give_up_after) };
         let wording = owed.wording.clone();
-        self.hands.appliances.submit((id, leg), to, wording, self.now, until);
+        self.hands.appliances.clone().submit((id, leg), to, wording, self.now, until);
     }
 
     fn decline(&mut self, id: TxnId, come_back_in: Duration) {
@@ -283,7 +313,7 @@
     }
 
     fn probe(&mut self, at: ApplianceId) {
-        self.hands.appliances.probe(at);
+        self.hands.appliances.clone().probe(at);
     }
 
     fn free_links(&mut self, at: ApplianceId) {
@@ -305,10 +335,10 @@
     }
 
     fn fetch_roster(&mut self) {
-        self.hands.discovery.fetch();
+        self.hands.discovery.clone().fetch();
     }
 
     fn vote(&mut self, build: Build, stage: Stage, verdict: Verdict) {
-        self.hands.platform.vote(build, stage, verdict);
+        self.hands.platform.clone().vote(build, stage, verdict);
     }
 }
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -142,6 +142,8 @@
     RosterUpdates "roster_updates"
     News "news"
     Votes "votes"
+    ServiceNews "service_news"
+    Openings "openings"
     PeersOut "datagrams_sent"
     PeersIn "datagrams_taken"
     Strangers "datagrams_dropped"
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -5,12 +5,14 @@
 
 mod appliances;
 mod clients;
+mod desk;
 mod discovery;
 mod hub;
 mod json;
 mod log;
 mod peers;
 mod platform;
+mod releases;
 mod resp;
 mod ring;
 mod told;
@@ -21,11 +23,13 @@
 
 use std::collections::BTreeSet;
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use async_io::Async;
 use async_signal::{Signal, Signals};
+use clap::Parser;
 use futures_lite::{FutureExt, StreamExt};
 
 use crate::clients::Clients;
@@ -37,8 +41,20 @@
 /// Descriptors for all but clients and links: output, the reactor, signals, listeners, discovery, the platform.
 const OWN: usize = 32;
 
+/// Routes its clients' txns to appliances of the old and the new build, and votes the new one on or back.
+///
+/// RELAY_CONFIG names the start file. Signals: USR1 writes the counters, and the releases' state where the operator's
+/// file wants it; HUP reads both files again; TERM and INT end it.
+#[derive(Parser)]
+#[command(name = "lilacgate", version)]
+struct Asking {
+    /// The operator's own file; without one nothing is narrowed
+    #[arg(long, value_name = "FILE", env = "LILACGATE_OPERATOR")]
+    operator: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
-    match start() {
+    match start(Asking::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("lilacgate: {fault}");
@@ -47,7 +63,7 @@
     }
 }
 
-fn start() -> Result<(), String> {
+fn start(asking: Asking) -> Result<(), String> {
     let file = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no start file")?;
     // First of all: until it is heard, a signal may end the agent.
     let heard = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
@@ -68,26 +84,30 @@
     let discovery =
         discovery::Discovery::new(hub.clone(), appliances.clone(), told.discovery, settings, most)?;
     let platform = platform::Platform::new(hub.clone(), told.platform, settings)?;
+    let (releases, gate) = releases::File::new(asking.operator, &told.name, settings, hub.clone())?;
     let peers = match told.peer_listen {
         Some(listen) => Some(peers::Peers::new(hub.clone(), listen, told.peers, told.peers_all)?),
         None => None,
     };
     let within = |path| told::field(&told.file, path).unwrap_or(&Json::Null);
+    // The news first: what is listed is read by them.
+    let news = desk::news(within("pipeline.news")).ok_or_else(|| unusable("pipeline.news"))?;
+    hub.tell(platform::hear(news));
     discovery.told(within("known"), true).ok_or_else(|| unusable("known"))?;
-    hub.tell(platform::news(within("pipeline.news")).ok_or_else(|| unusable("pipeline.news"))?);
     let listener =
         Async::<TcpListener>::bind(told.listen).map_err(|e| format!("listen {}: {e}", told.listen))?;
     say!("{} listens at {}", told.name, told.listen);
     hub.spawn(discovery.clone().run());
-    hub.spawn(platform.clone().run());
+    hub.spawn(platform.desk.clone().run());
     if let Some(peers) = &peers {
         hub.spawn(peers.clone().run());
     }
     hub.spawn(appliances.clone().sweep());
-    let signals =
-        Asked { heard, file, first: told.file, discovery: discovery.clone(), platform: platform.clone() };
-    let hands =
-        hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, wakes: BTreeSet::new() };
+    let asked = (discovery.clone(), platform.clone());
+    let signals = Asked { heard, file, first: told.file, discovery: asked.0, platform: asked.1, releases };
+    let peers = peers.map(|peers| peers as Rc<dyn hub::Tells>);
+    let (keeper, wakes) = (releases::Keeper::new(gate), BTreeSet::new());
+    let hands = hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, keeper, wakes };
     hub.spawn(hands.host(brain));
     hub.spawn(clients.clone().sweep());
     hub.spawn(clients.clone().accept(listener));
@@ -108,6 +128,7 @@
     first: Json,
     discovery: Rc<Discovery>,
     platform: Rc<Platform>,
+    releases: releases::File,
 }
 
 impl Asked {
@@ -123,8 +144,14 @@
     async fn until_stop(&mut self) {
         while let Some(Ok(signal @ (Signal::Usr1 | Signal::Hup))) = self.heard.next().await {
             match signal {
-                Signal::Hup => self.reload(),
-                _ => eprintln!("counters:{}", log::counters()),
+                Signal::Hup => {
+                    self.reload();
+                    self.releases.reload();
+                }
+                _ => {
+                    eprintln!("counters:{}", log::counters());
+                    self.releases.write_state();
+                }
             }
         }
     }
@@ -141,6 +168,6 @@
         }
         say!("reload: discovery at {}, platform at {}", told.discovery, told.platform);
         self.discovery.place.move_to(told.discovery);
-        self.platform.place.move_to(told.platform);
+        self.platform.desk.place.move_to(told.platform);
     }
 }
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 
 use async_io::Async;
-use lilacgate::port::AgentId;
+use lilacgate::port::{AgentId, Hears};
 
-use crate::hub::Hub;
+use crate::hub::{Hub, Tells};
 use crate::log::{Count, End, count, say};
 
 /// The longest datagram.
@@ -29,21 +29,6 @@
         Ok(Rc::new(Peers { hub, socket, own: listen, peers, all }))
     }
 
-    /// To one peer, or to all of them.
-    pub fn tell(&self, peer: Option<AgentId>, octets: &[u8]) {
-        let to = match peer {
-            Some(peer) => self.peers.get(peer.0 as usize).copied(),
-            None => self.all,
-        };
-        let (Some(to), true) = (to, octets.len() <= MOST) else {
-            return say!("a datagram of {} octets to {peer:?} stays here", octets.len());
-        };
-        match self.socket.get_ref().send_to(octets, to) {
-            Ok(_) => count(Count::PeersOut),
-            Err(fault) => say!("a datagram to {to} is lost: {}", End::from(fault)),
-        }
-    }
-
     pub async fn run(self: Rc<Self>) {
         let mut octets = [0; MOST + 1];
         loop {
@@ -66,3 +51,20 @@
         }
     }
 }
+
+impl Tells for Peers {
+    /// To one peer, or to all of them.
+    fn tell(&self, peer: Option<AgentId>, octets: &[u8]) {
+        let to = match peer {
+            Some(peer) => self.peers.get(peer.0 as usize).copied(),
+            None => self.all,
+        };
+        let (Some(to), true) = (to, octets.len() <= MOST) else {
+            return say!("a datagram of {} octets to {peer:?} stays here", octets.len());
+        };
+        match self.socket.get_ref().send_to(octets, to) {
+            Ok(_) => count(Count::PeersOut),
+            Err(fault) => say!("a datagram to {to} is lost: {}", End::from(fault)),
+        }
+    }
+}
--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside/mod.rs
@@ -12,9 +12,10 @@
 
 use crate::appliances::Appliances;
 use crate::discovery::Answer;
-use crate::hub::{Hub, Wording};
+use crate::hub::{Carries, Hub, Wording};
 use crate::json::{self, Json};
 use crate::log::Place;
+use crate::releases::{Ears, Keeper};
 use crate::resp::{self, Resp};
 use crate::ring::Parse;
 
@@ -128,7 +129,7 @@
     fn until_ended(&mut self, hub: &Hub) -> Option<Ending> {
         async_io::block_on(hub.run(async {
             while self.ended.is_none() {
-                hub.hear(self);
+                hub.hear(&mut Ears { module: self, keeper: &mut Keeper::default(), now: Duration::ZERO });
                 futures_lite::future::yield_now().await;
             }
         }));
@@ -170,7 +171,7 @@
     });
     let now = hub.clock.now();
     let words: Wording = Rc::new(|_| b"hello".to_vec());
-    appliances.submit((TxnId(0), Leg(0)), ApplianceId(to), words, now, now + Duration::from_secs(9));
+    appliances.clone().submit((TxnId(0), Leg(0)), ApplianceId(to), words, now, now + Duration::from_secs(9));
     let mut ear = Ear { may_go, ..Ear::default() };
     assert_eq!(ear.until_ended(&hub), Some(want));
     if links > 0 && to == 1 {
@@ -197,7 +198,7 @@
         conn.write_all(answer.as_bytes()).ok();
         conn.read_to_end(&mut Vec::new()).ok();
     });
-    appliances.probe(ApplianceId(1));
+    appliances.clone().probe(ApplianceId(1));
     let mut ear = Ear::default();
     assert_eq!(ear.until_ended(&hub), Some(want));
     let loads = ear.loads.iter().map(|(at, gauges)| (at.0, gauges.as_slice())).collect::<Vec<_>>();
