--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lilacgate::port::*;
+use lilacgate_standin::notation::bytes;
 use lilacgate_start::Paths;
 use rstest::rstest;
 
@@ -19,10 +20,6 @@
 use crate::resp::{self, Resp};
 use crate::ring::Parse;
 
-#[path = "../notation/mod.rs"]
-mod notation;
-use notation::bytes;
-
 /// What a parser finds in these pieces, as a text.
 fn found<P: Parse>(mut parser: P, pieces: &[&[u8]], show: &impl Fn(P::Item) -> String) -> String {
     let mut out = Vec::new();
--- /dev/null
+++ b/crates/standin/src/agent.rs
@@ -0,0 +1,84 @@
+//! Owns an agent that is tried: its process, its log, its signals. It starts and ends only that process.
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::post::{PATIENCE, line};
+
+/// A port that is free now.
+pub fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+}
+
+/// Whether a log comes to hold a text.
+pub fn logged(log: &Mutex<String>, text: &str) -> bool {
+    (0..PATIENCE.as_millis() / 10).any(|_| {
+        let there = log.lock().expect("a lock").contains(text);
+        if !there {
+            thread::sleep(Duration::from_millis(10));
+        }
+        there
+    })
+}
+
+/// A running agent.
+pub struct Agent {
+    child: Child,
+    pub log: Arc<Mutex<String>>,
+}
+
+impl Agent {
+    /// Starts the program with a start file, an operator's file if there is one, and as many files as it may open.
+    pub fn spawn(program: &Path, start: &Path, operator: Option<&Path>, files: Option<u32>) -> Agent {
+        let limit = files.map_or(String::new(), |files| format!("ulimit -n {files}; "));
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", &format!("{limit}exec {}", program.display())]).env("RELAY_CONFIG", start);
+        match operator {
+            Some(file) => shell.env("LILACGATE_OPERATOR", file),
+            None => shell.env_remove("LILACGATE_OPERATOR"),
+        };
+        let mut child = shell.stderr(Stdio::piped()).spawn().expect("the agent starts");
+        let (from, log) = (child.stderr.take().expect("its log"), Arc::new(Mutex::new(String::new())));
+        let kept = log.clone();
+        thread::spawn(move || {
+            let mut from = BufReader::new(from);
+            while let Some(said) = line(&mut from) {
+                kept.lock().expect("a lock").push_str(&format!("{said}\n"));
+            }
+        });
+        Agent { child, log }
+    }
+
+    /// The program beside the one that runs now, or where `LILACGATE_PROGRAM` says.
+    pub fn program() -> PathBuf {
+        let beside = || std::env::current_exe().ok().map(|own| own.with_file_name("lilacgate"));
+        std::env::var_os("LILACGATE_PROGRAM").map(PathBuf::from).or_else(beside).unwrap_or_default()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+
+    /// How it ends: its code, or that it was killed.
+    pub fn ended(mut self) -> String {
+        for _ in 0..PATIENCE.as_millis() / 10 {
+            if let Some(status) = self.child.try_wait().expect("its status") {
+                return status.code().map_or("killed".into(), |code| code.to_string());
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the agent does not end");
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/check.rs
@@ -0,0 +1,278 @@
+//! Owns the verdict on a day: it reads the record for the rules and knows nothing of the agent. What an agent was told
+//! counts from when the stand-in had written it; each rule has its own grace.
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::record::{Event, Final, Kind, Seen};
+
+/// What binds on a day.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// After so long nothing new goes where it may not.
+    pub grace: Duration,
+    /// Exposure: the window, what is free in it, and how many stages are closed to all but inquiry-like txns.
+    pub span: Duration,
+    pub free: f64,
+    pub guarded: u8,
+    /// How much later than its time an answer may come.
+    pub slack: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Terms { grace: ms(250), span: ms(4000), free: 3.0, guarded: 1, slack: ms(150) }
+    }
+}
+
+/// What was found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Verdict {
+    pub txns: usize,
+    pub settled: usize,
+    pub declined: usize,
+    pub voided: usize,
+    /// Submissions at a forbidden build after the grace, and the latest of all after the agent was told.
+    pub forbidden: usize,
+    pub worst_stop: Duration,
+    /// Txns without an answer in time, but for those that a killed agent held.
+    pub lost: usize,
+    /// Once-only txns that ran twice, and submissions of a txn that overlapped.
+    pub doubled: usize,
+    /// Txns declined though an allowed node was free.
+    pub wrongly_closed: usize,
+    /// Other rules that broke, in words.
+    pub broken: Vec<String>,
+}
+
+impl Verdict {
+    /// Whether nothing broke.
+    pub fn is_clean(&self) -> bool {
+        self.forbidden + self.lost + self.doubled + self.wrongly_closed == 0 && self.broken.is_empty()
+    }
+
+    pub fn add(&mut self, other: &Verdict) {
+        self.txns += other.txns;
+        self.settled += other.settled;
+        self.declined += other.declined;
+        self.voided += other.voided;
+        self.forbidden += other.forbidden;
+        self.worst_stop = self.worst_stop.max(other.worst_stop);
+        self.lost += other.lost;
+        self.doubled += other.doubled;
+        self.wrongly_closed += other.wrongly_closed;
+        self.broken.extend(other.broken.iter().cloned());
+    }
+}
+
+struct Open {
+    kind: Kind,
+    sent: Duration,
+    expiry: Duration,
+    answers: Vec<(Duration, Final)>,
+    /// Where submissions are out now, and how many have come whole.
+    out: BTreeSet<usize>,
+    got: usize,
+    /// Whether an agent that held it was killed.
+    orphan: bool,
+}
+
+#[derive(Clone, Copy)]
+struct Node {
+    zone: usize,
+    build: u16,
+    ready: bool,
+    since: Duration,
+}
+
+/// Reads a day's record.
+pub fn check(events: &[Event], terms: &Terms) -> Verdict {
+    let mut found = Verdict::default();
+    let mut txns: BTreeMap<u32, Open> = BTreeMap::new();
+    let mut nodes: BTreeMap<usize, Node> = BTreeMap::new();
+    let mut forbidden: BTreeMap<(u16, Option<usize>), Duration> = BTreeMap::new();
+    let mut allowed_since: BTreeMap<(u16, usize), Duration> = BTreeMap::new();
+    // News of the own build: when, build, stage, whether on trial, cap.
+    let mut news: Vec<(Duration, u16, u8, bool, f64)> = Vec::new();
+    let mut taken: Vec<Duration> = Vec::new();
+    let mut exposed: BTreeMap<u16, Vec<Duration>> = BTreeMap::new();
+    for Event { at, seen } in events {
+        let at = *at;
+        match seen {
+            Seen::Sent { id, kind, expiry } => {
+                taken.push(at);
+                let (answers, out) = Default::default();
+                let open =
+                    Open { kind: *kind, sent: at, expiry: *expiry, answers, out, got: 0, orphan: false };
+                if txns.insert(*id, open).is_some() {
+                    found.broken.push(format!("id {id} was sent twice: a fault of the stand-in"));
+                }
+            }
+            Seen::Answered { id, how } => {
+                let Some(open) = txns.get_mut(id) else { continue };
+                open.answers.push((at, *how));
+                if *how == Final::Declined && !open.orphan {
+                    let since = open.sent.saturating_sub(terms.grace);
+                    let free = |node: &Node| {
+                        let zones = [Some(node.zone), None];
+                        let shut = zones.iter().any(|zone| forbidden.contains_key(&(node.build, *zone)));
+                        let opened = allowed_since.get(&(node.build, node.zone)).copied().unwrap_or_default();
+                        let stage = news.last().filter(|n| n.1 <= node.build && n.3 || n.1 < node.build);
+                        let released = stage.is_none();
+                        node.ready && node.since <= since && !shut && opened <= since && released
+                    };
+                    found.wrongly_closed += usize::from(nodes.values().any(free));
+                }
+            }
+            Seen::Got { id, node, build, zone } => {
+                for key in [(*build, Some(*zone)), (*build, None)] {
+                    if let Some(since) = forbidden.get(&key) {
+                        let late = at - *since;
+                        found.worst_stop = found.worst_stop.max(late);
+                        found.forbidden += usize::from(late > terms.grace);
+                    }
+                }
+                if let Some(listed) = nodes.get(node).filter(|n| !n.ready && at > n.since + terms.grace) {
+                    let late = (at - listed.since).as_millis();
+                    found.broken.push(format!("node {node} got txn {id} {late} ms after it was drained"));
+                }
+                let Some(open) = txns.get_mut(id) else {
+                    found.broken.push(format!("node {node} got txn {id}, which nobody sent"));
+                    continue;
+                };
+                if !open.answers.is_empty() {
+                    found.broken.push(format!("txn {id} went out after its answer"));
+                }
+                if !open.out.is_empty() || (open.kind == Kind::Book && open.got > 0 && !open.orphan) {
+                    found.doubled += 1;
+                }
+                open.got += 1;
+                open.out.insert(*node);
+                let last = news.last().copied();
+                if let Some((told, newest, stage, true, _)) = last.filter(|n| n.1 == *build) {
+                    if stage < terms.guarded && open.kind != Kind::Read && at > told + terms.grace {
+                        found
+                            .broken
+                            .push(format!("txn {id} with an effect at build {newest} in stage {stage}"));
+                    }
+                    let sent = exposed.entry(*build).or_default();
+                    sent.push(at);
+                    let from = at.saturating_sub(terms.span);
+                    let many = sent.iter().rev().take_while(|t| **t > from).count() as f64;
+                    let asked = taken.iter().rev().take_while(|t| **t > from).count() as f64;
+                    // The highest cap that was in force somewhere in the window, its own grace behind it.
+                    let cap = |i: usize| news.get(i + 1).is_none_or(|next| next.0 + terms.grace > from);
+                    let caps = (0..news.len()).filter(|i| news[*i].1 == *build && cap(*i)).map(|i| news[i].4);
+                    let cap = caps.fold(0.0, f64::max);
+                    if many > terms.free + 2.0 + cap * 1.04 * asked {
+                        found
+                            .broken
+                            .push(format!("build {build} got {many} of {asked} txns at a cap of {cap}"));
+                    }
+                }
+            }
+            Seen::Done { id, node, .. } => {
+                if let Some(open) = txns.get_mut(id) {
+                    open.out.remove(node);
+                }
+            }
+            Seen::Listed { node, zone, build, ready } => {
+                nodes.insert(*node, Node { zone: *zone, build: *build, ready: *ready, since: at });
+            }
+            Seen::News { build, stage, on_trial, cap } => news.push((at, *build, *stage, *on_trial, *cap)),
+            Seen::Forbidden { build, zone } => {
+                forbidden.entry((*build, *zone)).or_insert(at);
+            }
+            Seen::Allowed { build, zone } => {
+                forbidden.remove(&(*build, *zone));
+                let zones: Vec<usize> =
+                    zone.map_or_else(|| nodes.values().map(|n| n.zone).collect(), |z| vec![z]);
+                allowed_since.extend(zones.into_iter().map(|zone| ((*build, zone), at)));
+            }
+            Seen::Killed => {
+                txns.values_mut().filter(|open| open.answers.is_empty()).for_each(|open| open.orphan = true);
+            }
+            Seen::Up | Seen::Vote { .. } | Seen::Note(_) => {}
+        }
+    }
+    found.txns = txns.len();
+    for (id, open) in &txns {
+        let last = open.sent + open.expiry + terms.slack;
+        match open.answers[..] {
+            [(at, how)] if at <= last && how != Final::Lost => match how {
+                Final::Settled => found.settled += 1,
+                Final::Declined => found.declined += 1,
+                _ => found.voided += 1,
+            },
+            _ if open.orphan => {}
+            [] | [_] => found.lost += 1,
+            _ => found.broken.push(format!("txn {id} has {} answers", open.answers.len())),
+        }
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(at: u64) -> Duration {
+        Duration::from_millis(at)
+    }
+
+    fn verdict(events: &[(u64, Seen)]) -> Verdict {
+        let events: Vec<Event> =
+            events.iter().map(|(at, seen)| Event { at: ms(*at), seen: seen.clone() }).collect();
+        check(&events, &Terms::default())
+    }
+
+    fn sent(id: u32, kind: Kind) -> Seen {
+        Seen::Sent { id, kind, expiry: ms(1000) }
+    }
+
+    fn got(id: u32, node: usize, build: u16) -> Seen {
+        Seen::Got { id, node, build, zone: 0 }
+    }
+
+    fn answered(id: u32, how: Final) -> Seen {
+        Seen::Answered { id, how }
+    }
+
+    /// Each rule is seen to break when it does, and not before.
+    #[test]
+    fn breaks_are_found() {
+        let listed = |ready| Seen::Listed { node: 1, zone: 0, build: 1, ready };
+        let shut = Seen::Forbidden { build: 2, zone: Some(0) };
+        let fine = [
+            (0, listed(true)),
+            (1, sent(1, Kind::Book)),
+            (2, got(1, 1, 1)),
+            (9, answered(1, Final::Settled)),
+        ];
+        assert!(verdict(&fine).is_clean());
+        let late =
+            verdict(&[(0, shut.clone()), (1, sent(1, Kind::Read)), (240, got(1, 1, 2)), (260, got(1, 2, 2))]);
+        assert_eq!((late.forbidden, late.worst_stop, late.doubled, late.lost), (1, ms(260), 1, 1));
+        let drained = verdict(&[(0, listed(false)), (1, sent(1, Kind::Read)), (251, got(1, 1, 1))]);
+        assert!(drained.broken[0].contains("drained"));
+        let done = Seen::Done { id: 1, node: 1, fine: false };
+        let twice = [(0, sent(1, Kind::Book)), (1, got(1, 1, 1)), (2, done.clone()), (3, got(1, 2, 1))];
+        assert_eq!(verdict(&twice).doubled, 1);
+        let again = [(0, sent(1, Kind::Read)), (1, got(1, 1, 1)), (2, done), (3, got(1, 2, 1))];
+        assert_eq!(verdict(&again).doubled, 0);
+        let after = [(0, sent(1, Kind::Read)), (1, answered(1, Final::Declined)), (2, got(1, 1, 1))];
+        assert!(verdict(&after).broken[0].contains("after its answer"));
+        let closed = [(0, listed(true)), (400, sent(1, Kind::Read)), (401, answered(1, Final::Declined))];
+        assert_eq!(verdict(&closed).wrongly_closed, 1);
+        let killed = [(0, sent(1, Kind::Read)), (1, Seen::Killed)];
+        assert_eq!(verdict(&killed).lost, 0);
+        let news = Seen::News { build: 2, stage: 0, on_trial: true, cap: 0.1 };
+        let mut many = vec![(0, news.clone()), (1, sent(0, Kind::Post)), (300, got(0, 1, 2))];
+        assert!(verdict(&many).broken[0].contains("with an effect"));
+        many.truncate(1);
+        many.extend((1..8).flat_map(|id| [(1, sent(id, Kind::Read)), (2, got(id, 1, 2))]));
+        assert!(verdict(&many).broken[0].contains("at a cap of"));
+        let too_late = [(0, sent(1, Kind::Read)), (1151, answered(1, Final::Settled))];
+        assert_eq!(verdict(&too_late).lost, 1);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for all that an agent talks with, on loopback and free ports, written from the published protocol: posts
+//! that listen and are scripted step by step (for scenarios), and a small town that plays whole days by itself (for
+//! the demonstration and measurements). Everything that happens there is on record with its time, and a checker reads
+//! the record for the rules. Chance comes from a seed. Nothing here is part of a running agent.
+#![forbid(unsafe_code)]
+
+pub mod agent;
+pub mod check;
+pub mod days;
+pub mod demo;
+pub mod gauge;
+pub mod notation;
+pub mod post;
+pub mod record;
+pub mod start;
+pub mod town;
--- a/crates/agent/tests/notation/mod.rs
+++ b/crates/standin/src/notation.rs
@@ -1,4 +1,4 @@
-//! How scenarios write bytes: \r \n \xHH, a backslash before what stands for itself, and <COUNT*BYTES>.
+//! Owns how scenarios write bytes and what they expect: \r \n \xHH, a backslash before what stands for itself, and <COUNT*BYTES>.
 pub fn bytes(text: &str) -> Vec<u8> {
     let mut out = Vec::new();
     let mut rest = text;
@@ -27,3 +27,15 @@
     }
     out
 }
+
+/// The part of a text before a `*` must begin the other; without one they are equal.
+pub fn fits(want: &str, got: &str) -> bool {
+    match want.split_once('*') {
+        Some((start, "")) => got.starts_with(start),
+        Some((start, rest)) => {
+            let Some(after) = got.strip_prefix(start) else { return false };
+            (0..=after.len()).any(|i| after.is_char_boundary(i) && fits(rest, &after[i..]))
+        }
+        None => want == got,
+    }
+}
