--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # What a developer does here. CI runs .ci/run, which is `lint` and `test` on a clean checkout.
 START ?= deploy/start.example.json
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo measure-releases
 
 build:
 	cargo build --release
@@ -16,3 +16,13 @@
 
 run: build
 	RELAY_CONFIG=$(START) target/release/lilacgate
+
+# A small fleet on loopback: three releases, told in plain words, in under a minute.
+demo:
+	cargo build --release -p lilacgate-agent -p lilacgate-standin
+	target/release/lilacgate-standin demo
+
+# Figures on loopback, in under a minute on four cores; the last line holds them all.
+measure-releases:
+	cargo build --release -p lilacgate-agent -p lilacgate-standin
+	target/release/lilacgate-standin measure releases
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -40,7 +40,7 @@
 use std::thread;
 use std::time::Duration;
 
-use lilacgate_standin::agent::{Agent, free, logged};
+use lilacgate_standin::agent::{Agent, free, free_for_datagrams, logged};
 use lilacgate_standin::notation::{bytes, fits};
 use lilacgate_standin::post::{
     self, PATIENCE, Post, Said, chunk, command, discovery, platform, resp, rollout,
@@ -100,8 +100,7 @@
     }
 
     fn spawn(&mut self) {
-        let peer_listen = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a free port");
-        self.start.0 = self.start.0.replace("PEER_LISTEN", &peer_listen.to_string());
+        self.start.0 = self.start.0.replace("PEER_LISTEN", &free_for_datagrams().to_string());
         self.write_told();
         let operator = self.operator.is_some().then(|| self.folder.path().join("operator.xml"));
         let program = Path::new(env!("CARGO_BIN_EXE_lilacgate"));
@@ -161,7 +160,7 @@
                 let mut parts = one.split(':');
                 let (name, state) = (parts.next().expect("a name"), parts.next().expect("a state"));
                 let (name, at) = name.split_once('@').unwrap_or((name, name));
-                entry(name, self.appliances[at].at, "x", state, parts.next().unwrap_or("1"))
+                entry(name, self.appliances[at].at, "x", state, parts.next().unwrap_or("1"), None)
             })
             .collect();
         let entries = entries.join(",");
@@ -223,7 +222,7 @@
             ("appliance", (name, build)) => {
                 let post = Post::new(resp, "", b"", b"");
                 let build = if build.is_empty() { "1" } else { build };
-                self.known.push(entry(name, post.at, "x", "ready", build));
+                self.known.push(entry(name, post.at, "x", "ready", build, None));
                 self.appliances.insert(name.into(), post);
             }
             ("set", (field, value)) => self.start.set(field, value),
--- a/crates/releases/src/gate.rs
+++ b/crates/releases/src/gate.rs
@@ -280,6 +280,27 @@
         self.rebuild(now);
     }
 
+    /// Time has passed, in which every service that was not in doubt has gone on giving signs of life: for looking
+    /// ahead, not for a running agent.
+    pub fn live_on(&mut self, now: Duration) {
+        for service in self.rules.service_ids() {
+            if self.doubt(service, self.now).is_none() {
+                self.facts[usize::from(service.0)].alive(now.max(self.now));
+            }
+        }
+        self.rebuild(now);
+    }
+
+    /// The time that it stands at.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The newest build that its own service's news name.
+    pub fn newest(&self) -> Option<Build> {
+        self.facts[usize::from(self.rules.own.0)].last().map(|last| last.build)
+    }
+
     /// Whether a txn may go to a build in a zone, or why not.
     ///
     /// # Errors
@@ -332,12 +353,17 @@
         let silent = self.rules.services.iter().zip(&self.facts).filter_map(|(service, fact)| {
             fact.heard().zip(service.silent_after).map(|(heard, most)| heard.saturating_add(most))
         });
+        silent.filter(|at| *at > self.now).chain(self.next_ordered()).min()
+    }
+
+    /// The same, but for services that fall silent.
+    pub fn next_ordered(&self) -> Option<Duration> {
         let climbs = self.climbs.iter().flat_map(|((service, build), climb)| {
             let ladder = self.rules.ladder(*service, *build);
             ladder.into_iter().flat_map(|ladder| [climb.due(ladder), climb.earned(ladder)]).flatten()
         });
         let freezes = self.rules.freezes.iter().filter_map(|freeze| freeze.when.next_change(self.now));
-        silent.chain(climbs).chain(freezes).filter(|at| *at > self.now).min()
+        climbs.chain(freezes).filter(|at| *at > self.now).min()
     }
 
     /// When a ring of a build opens by time alone, if that is known.
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -1,6 +1,6 @@
 //! Owns an agent that is tried: its process, its log, its signals. It starts and ends only that process.
 use std::io::BufReader;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -14,6 +14,11 @@
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
 }
 
+/// The same for datagrams.
+pub fn free_for_datagrams() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port")
+}
+
 /// Whether a log comes to hold a text.
 pub fn logged(log: &Mutex<String>, text: &str) -> bool {
     (0..PATIENCE.as_millis() / 10).any(|_| {
@@ -64,6 +69,11 @@
         assert!(done.expect("kill runs").success());
     }
 
+    /// Whether it runs still.
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_none())
+    }
+
     /// How it ends: its code, or that it was killed.
     pub fn ended(mut self) -> String {
         for _ in 0..PATIENCE.as_millis() / 10 {
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,46 @@
+//! The program around the stand-ins: the demonstration, and the measurements. It plays the agent beside it.
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use lilacgate_standin::agent::Agent;
+use lilacgate_standin::{demo, gauge};
+
+/// Plays an agent against stand-ins on loopback. Exit code 1: something was not as it should be.
+#[derive(Parser)]
+#[command(name = "lilacgate-standin", version)]
+struct Asking {
+    /// The agent's program; the one beside this program, if left out
+    #[arg(long, value_name = "FILE", global = true)]
+    program: Option<PathBuf>,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Three releases on a small fleet, told in plain words, in under a minute
+    Demo,
+    /// Figures of a subsystem, the line `measure NAME: ..` last
+    Measure {
+        #[arg(value_parser = ["releases"])]
+        name: String,
+    },
+}
+
+fn main() -> ExitCode {
+    let asking = Asking::parse();
+    let program = asking.program.unwrap_or_else(Agent::program);
+    if !program.is_file() {
+        eprintln!(
+            "lilacgate-standin: no agent at {}: build it first, or name it by --program",
+            program.display()
+        );
+        return ExitCode::from(2);
+    }
+    let fine = match asking.what {
+        What::Demo => demo::play(&program),
+        What::Measure { .. } => gauge::releases(&program),
+    };
+    if fine { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/standin/src/start.rs
+++ b/crates/standin/src/start.rs
@@ -1,7 +1,7 @@
 //! Owns the start file that stand-ins give an agent, and its entries of the list. Figures in it are ours.
 use std::net::SocketAddr;
 use std::sync::OnceLock;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const START: &str = r#"{"name":"n0","seed":"8c1f30d27a5be964","listen":"LISTEN","discovery":"DISCOVERY",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peer_listen":"PEER_LISTEN","peers":["PEER_LISTEN","PEER"],
@@ -58,11 +58,13 @@
     }
 }
 
-/// An entry of the list, of an appliance that has run for long, but not for ever.
-pub fn entry(name: &str, at: SocketAddr, zone: &str, state: &str, build: &str) -> String {
-    static NOW: OnceLock<u128> = OnceLock::new();
-    let now = || SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis();
-    let started = NOW.get_or_init(now) - 60_000;
+/// An entry of the list, of an appliance that started then, or has run for long, but not for ever.
+pub fn entry(
+    name: &str, at: SocketAddr, zone: &str, state: &str, build: &str, started: Option<SystemTime>,
+) -> String {
+    static NOW: OnceLock<SystemTime> = OnceLock::new();
+    let long_ago = || *NOW.get_or_init(SystemTime::now) - Duration::from_secs(60);
+    let started = started.unwrap_or_else(long_ago).duration_since(UNIX_EPOCH).expect("a clock").as_millis();
     format!(
         r#"{{"id":"s-{name}","addr":"{at}","zone":"{zone}","kind":"m","cell":0,"state":"{state}","weight":1.0,
 "started_ms":{started},"release":{build}}}"#
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -8,12 +8,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::agent::{Agent, free};
+use crate::agent::{Agent, free, free_for_datagrams};
 use crate::post::{self, LISTENS, PING, QUIET, WATCH, chunk, command, head, line, resp, rollout};
 use crate::record::{Final, Kind, Record, Seen};
 use crate::start::{Start, entry};
@@ -81,6 +81,8 @@
     listening: Listening,
     manners: Arc<Mutex<Manners>>,
     ready: bool,
+    /// When it started, where that is not long ago.
+    started: Option<SystemTime>,
 }
 
 impl Node {
@@ -108,7 +110,7 @@
                 }
             }
         });
-        Node { listening, manners, ready: true }
+        Node { listening, manners, ready: true, started: None }
     }
 
     pub fn manners(&self) -> Manners {
@@ -388,12 +390,19 @@
         number
     }
 
+    /// A further node that starts now, cold.
+    pub fn start_node(&mut self, manners: Manners) -> usize {
+        let number = self.node(manners);
+        self.nodes[number].started = Some(SystemTime::now());
+        number
+    }
+
     fn entries(&self, of: impl Iterator<Item = usize>) -> Vec<String> {
         let line = |number: usize| {
             let (node, name) = (&self.nodes[number], format!("d{number}"));
             let (zone, build) = (ZONES[node.manners().zone], node.manners().build.to_string());
             let state = if node.ready { "ready" } else { "draining" };
-            entry(&name, node.listening.at, zone, state, &build)
+            entry(&name, node.listening.at, zone, state, &build, node.started)
         };
         of.map(line).collect()
     }
@@ -450,32 +459,32 @@
         }
     }
 
-    /// Starts the agent, and waits until it answers; gives up after the stand-ins' patience.
+    /// Starts the agent, and waits until it answers; gives up after the stand-ins' patience. A port that was free may be
+    /// taken before the agent has it: then it is tried again with others.
     pub fn up(&mut self, with_operator: bool) -> bool {
         let all: Vec<usize> = (0..self.nodes.len()).collect();
         locked(&self.list).1 = self.entries(all.iter().copied());
-        let peers = free();
-        let places = [
-            ("PEER_LISTEN", peers.to_string()),
-            ("LISTEN", self.listen.to_string()),
-            ("DISCOVERY", self.discovery.at.to_string()),
-            ("PLATFORM", self.platform.at().to_string()),
-            ("PEER", free().to_string()),
-            ("KNOWN", locked(&self.list).1.join(",")),
-        ];
-        std::fs::write(self.file("start.json"), self.start.with(&places)).expect("the start file");
         for number in all {
             let Manners { build, zone, .. } = self.nodes[number].manners();
             self.record.put(Seen::Listed { node: number, zone, build, ready: self.nodes[number].ready });
         }
         let operator = Some(self.file("operator.xml")).filter(|_| with_operator && self.has_operator);
-        self.agent = Some(Agent::spawn(&self.program, &self.file("start.json"), operator.as_deref(), None));
-        let up = (0..500).any(|_| {
-            thread::sleep(Duration::from_millis(10));
-            let Ok(mut conn) = TcpStream::connect(self.listen) else { return false };
-            conn.set_read_timeout(Some(Duration::from_secs(1))).ok();
-            conn.write_all(command(&["PING"]).as_bytes()).is_ok()
-                && resp(&mut BufReader::new(conn)).as_deref() == Some("+PONG")
+        let up = (0..5).any(|_| {
+            if self.clients.is_empty() {
+                self.listen = free();
+            }
+            let places = [
+                ("PEER_LISTEN", free_for_datagrams().to_string()),
+                ("LISTEN", self.listen.to_string()),
+                ("DISCOVERY", self.discovery.at.to_string()),
+                ("PLATFORM", self.platform.at().to_string()),
+                ("PEER", free_for_datagrams().to_string()),
+                ("KNOWN", locked(&self.list).1.join(",")),
+            ];
+            std::fs::write(self.file("start.json"), self.start.with(&places)).expect("the start file");
+            let agent = Agent::spawn(&self.program, &self.file("start.json"), operator.as_deref(), None);
+            self.agent = Some(agent);
+            self.answers()
         });
         if up {
             self.record.put(Seen::Up);
@@ -483,6 +492,23 @@
         up
     }
 
+    /// Whether the agent comes to answer, while it runs.
+    fn answers(&mut self) -> bool {
+        for _ in 0..500 {
+            thread::sleep(Duration::from_millis(10));
+            if !self.agent.as_mut().is_some_and(Agent::runs) {
+                return false;
+            }
+            let Ok(mut conn) = TcpStream::connect(self.listen) else { continue };
+            conn.set_read_timeout(Some(Duration::from_secs(1))).ok();
+            let asked = conn.write_all(command(&["PING"]).as_bytes()).is_ok();
+            if asked && resp(&mut BufReader::new(conn)).as_deref() == Some("+PONG") {
+                return true;
+            }
+        }
+        false
+    }
+
     /// The agent is killed.
     pub fn kill(&mut self) {
         self.agent = None;
