The gate's keeper apart from the file; measured figures of releases beside their baseline

Need: one job a file, and the hub should see the gate only; figures belong beside their baseline. keeper.rs holds the gate and the way through it to the module, releases.rs the file and the desks.

--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -14,8 +14,8 @@
 use lilacgate::brain::Brain;
 use lilacgate::port::*;
 
+use crate::keeper::{Ears, Keeper};
 use crate::log::{Count, count, say};
-use crate::releases::{Ears, Keeper};
 
 /// Something that the module is to hear, or the gate beside it.
 type Call = Box<dyn FnOnce(&mut Ears)>;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod hub;
 mod json;
+mod keeper;
 mod log;
 mod peers;
 mod platform;
@@ -106,7 +107,7 @@
     let asked = (discovery.clone(), platform.clone());
     let signals = Asked { heard, file, first: told.file, discovery: asked.0, platform: asked.1, releases };
     let peers = peers.map(|peers| peers as Rc<dyn hub::Tells>);
-    let (keeper, wakes) = (releases::Keeper::new(gate), BTreeSet::new());
+    let (keeper, wakes) = (keeper::Keeper::new(gate), BTreeSet::new());
     let hands = hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, keeper, wakes };
     hub.spawn(hands.host(brain));
     hub.spawn(clients.clone().sweep());
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -13,8 +13,8 @@
 use crate::desk::{self, Bound, Desk, Ears as _, LINE, News};
 use crate::hub::{Hub, Votes};
 use crate::json::{self, Json};
+use crate::keeper::Ears;
 use crate::log::{Count, End, count, say};
-use crate::releases::Ears;
 use crate::ring::{Intake, connect, within};
 
 struct Line {
--- a/crates/agent/src/releases.rs
+++ b/crates/agent/src/releases.rs
@@ -1,201 +1,26 @@
-//! Owns the operator's releases in a running agent: the gate beside the module, which builds are listed, the file that
-//! set it, and the release desks of other services. The module hears of everything through it, so that what narrows
-//! it is always as new as what it is told. It must never open anything by itself, nor do I/O in a round.
+//! Owns the operator's file in a running agent, and the talk with the release desks of other services that it names.
+//! It must never take half a file, nor let one desk's trouble reach another; what the file allows is the gate's to say.
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
-use lilacgate::openings::Openings;
-use lilacgate::port::*;
+use lilacgate::port::Tenant;
 use lilacgate_operator::{Known, Operator, Releases};
 use lilacgate_releases::facts::Told;
-use lilacgate_releases::gate::{Gate, What};
+use lilacgate_releases::gate::Gate;
 use lilacgate_releases::model::ServiceId;
 use lilacgate_start::Paths;
 
-use crate::desk::{Bound, Desk, Ears as DeskEars};
+use crate::desk::{Bound, Desk, Ears, News};
 use crate::hub::Hub;
-use crate::log::{Count, count, say};
+use crate::log::say;
 
 /// News and signs of life that another service's desk may send in a second. One a second is due, and each change.
 const NOISE: u32 = 64;
 
-/// The gate and what it goes by, beside the module. Without an operator's file there is none, and nothing is narrowed.
-#[derive(Default)]
-pub struct Keeper {
-    gate: Option<Gate>,
-    handed: Option<Arc<Openings>>,
-    /// The builds of the listed appliances.
-    listed: BTreeMap<ApplianceId, Build>,
-    own: Option<Told>,
-    next: Option<Duration>,
-}
-
-impl Keeper {
-    pub fn new(gate: Option<Gate>) -> Self {
-        Keeper { gate, ..Keeper::default() }
-    }
-
-    /// When something changes by time alone.
-    pub fn next(&self) -> Option<Duration> {
-        self.next
-    }
-}
-
-/// What the module's owner hears with: the module itself, and the gate on its way.
-pub struct Ears<'a> {
-    pub module: &'a mut dyn Hears,
-    pub keeper: &'a mut Keeper,
-    pub now: Duration,
-}
-
-impl Ears<'_> {
-    /// Lets the gate hear something, and passes on what has changed by it.
-    fn gate(&mut self, hear: impl FnOnce(&mut Gate, Duration)) {
-        let Some(gate) = &mut self.keeper.gate else { return };
-        hear(gate, self.now);
-        self.keeper.next = gate.next_change();
-        let (events, left_out) = gate.events();
-        if left_out > 0 {
-            say!("releases: {left_out} changes left out");
-        }
-        for event in events {
-            let build = event.build;
-            match event.what {
-                What::Opened(many) => say!("releases: build {build} open to {many} more"),
-                What::Closed(many, why) => say!("releases: build {build} closed to {many}: {why}"),
-                What::MayStep(stage) => say!("releases: build {build} may go on from stage {stage}"),
-                What::Stays(why) => say!("releases: build {build} stays: {why}"),
-            }
-        }
-        let open = gate.openings();
-        if self.keeper.handed.as_ref().is_none_or(|handed| !Arc::ptr_eq(handed, &open)) {
-            count(Count::Openings);
-            self.keeper.handed = Some(open.clone());
-            self.module.openings(Some(open));
-        }
-    }
-
-    /// Time has passed.
-    pub fn advance(&mut self) {
-        if self.keeper.next.is_some_and(|next| next <= self.now) {
-            self.gate(Gate::advance);
-        }
-    }
-
-    /// News of another service.
-    pub fn service(&mut self, service: ServiceId, told: Told) {
-        count(Count::ServiceNews);
-        self.gate(|gate, now| gate.hear(now, service, told));
-    }
-
-    pub fn service_lives(&mut self, service: ServiceId) {
-        self.gate(|gate, now| gate.alive(now, service));
-    }
-
-    /// Takes a file's rules, or none any more.
-    pub fn order(&mut self, releases: Option<(Releases, Tenant)>) {
-        let Some((Releases { rules, .. }, me)) = releases else {
-            let had = self.keeper.gate.take().is_some();
-            (self.keeper.handed, self.keeper.next) = (None, None);
-            if had {
-                self.module.openings(None);
-            }
-            return;
-        };
-        // The reader has refused circles of needs.
-        if self.keeper.gate.is_some() {
-            self.gate(|gate, now| drop(gate.replace(now, rules, Some(me))));
-        } else {
-            self.keeper.gate = Gate::new(rules, Some(me), self.now).ok();
-            let (own, listed) = (self.keeper.own, self.keeper.listed.clone());
-            self.gate(|gate, now| {
-                let service = gate.rules().own;
-                own.into_iter().for_each(|told| gate.hear(now, service, told));
-                gate.list(now, listed.into_values());
-            });
-        }
-    }
-
-    /// The gate's state as JSON, if there is a gate.
-    pub fn state(&self, agent: &str) -> Option<String> {
-        serde_json::to_string(&self.keeper.gate.as_ref()?.state(agent, Vec::new())).ok()
-    }
-}
-
-impl Hears for Ears<'_> {
-    fn roster(&mut self, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
-        let lines: Vec<Line> = lines.collect();
-        if matches!(listing, Listing::Whole | Listing::Saved) {
-            self.keeper.listed.clear();
-        }
-        for line in &lines {
-            match line.mode {
-                Mode::Gone => drop(self.keeper.listed.remove(&line.appliance)),
-                _ => drop(self.keeper.listed.insert(line.appliance, line.build)),
-            }
-        }
-        let builds: Vec<Build> = self.keeper.listed.values().copied().collect();
-        self.gate(|gate, now| gate.list(now, builds.into_iter()));
-        self.module.roster(listing, &mut lines.into_iter());
-    }
-
-    fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration) {
-        let told = Told { build, stage, course, since: self.now.saturating_sub(age) };
-        self.keeper.own = Some(told);
-        self.gate(|gate, now| gate.hear(now, gate.rules().own, told));
-        self.module.stage(build, stage, course, cap, age);
-    }
-
-    fn txn(&mut self, id: TxnId, txn: Txn) {
-        self.module.txn(id, txn);
-    }
-
-    fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
-        self.module.ended(id, leg, at, ending, took, closed);
-    }
-
-    fn stream_begun(&mut self, id: TxnId, leg: Leg, at: ApplianceId, took: Duration) {
-        self.module.stream_begun(id, leg, at, took);
-    }
-
-    fn client_left(&mut self, id: TxnId) {
-        self.module.client_left(id);
-    }
-
-    fn may_go(&mut self, id: TxnId, leg: Leg) -> bool {
-        self.module.may_go(id, leg)
-    }
-
-    fn load(&mut self, at: ApplianceId, gauges: &[f32]) {
-        self.module.load(at, gauges);
-    }
-
-    fn probed(&mut self, at: ApplianceId, ending: Ending, took: Duration) {
-        self.module.probed(at, ending, took);
-    }
-
-    fn peer(&mut self, from: AgentId, octets: &[u8]) {
-        self.module.peer(from, octets);
-    }
-
-    fn vote_answered(&mut self, ending: Ending) {
-        self.module.vote_answered(ending);
-    }
-
-    fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration) {
-        self.module.wrong_answer(at, product, sent_ago);
-    }
-
-    fn woken(&mut self, ticket: Ticket) {
-        self.module.woken(ticket);
-    }
-}
-
 /// The operator's file, and the desks that it names.
 pub struct File {
     path: Option<PathBuf>,
@@ -329,8 +154,8 @@
     service: Rc<Cell<ServiceId>>,
 }
 
-impl DeskEars for Service {
-    fn news(&self, news: crate::desk::News) {
+impl Ears for Service {
+    fn news(&self, news: News) {
         let service = self.service.get();
         let since = self.hub.clock.now().saturating_sub(news.age);
         let told = Told { build: news.build, stage: news.stage, course: news.course, since };
--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside/mod.rs
@@ -15,8 +15,8 @@
 use crate::discovery::Answer;
 use crate::hub::{Carries, Hub, Wording};
 use crate::json::{self, Json};
+use crate::keeper::{Ears, Keeper};
 use crate::log::Place;
-use crate::releases::{Ears, Keeper};
 use crate::resp::{self, Resp};
 use crate::ring::Parse;
 
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -1,8 +1,9 @@
 //! Owns an agent that is tried: its process, its log, its signals. It starts and ends only that process.
 use std::io::BufReader;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -11,12 +12,28 @@
 
 /// A port that is free now.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    free_at(Ipv4Addr::LOCALHOST)
+}
+
+pub fn free_at(host: Ipv4Addr) -> SocketAddr {
+    TcpListener::bind((host, 0)).and_then(|l| l.local_addr()).expect("a free port")
 }
 
 /// The same for datagrams.
 pub fn free_for_datagrams() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port")
+    free_datagrams_at(Ipv4Addr::LOCALHOST)
+}
+
+pub fn free_datagrams_at(host: Ipv4Addr) -> SocketAddr {
+    UdpSocket::bind((host, 0)).and_then(|socket| socket.local_addr()).expect("a free port")
+}
+
+/// A loopback address that nobody else here listens at, so that a port that one gives up is not at once another's.
+pub fn own_host() -> Ipv4Addr {
+    static LAST: AtomicU16 = AtomicU16::new(0);
+    let number = LAST.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id() % 200;
+    Ipv4Addr::new(127, 1 + process as u8, (number / 250) as u8, 1 + (number % 250) as u8)
 }
 
 /// Whether a log comes to hold a text.
--- a/crates/standin/src/gauge.rs
+++ b/crates/standin/src/gauge.rs
@@ -30,14 +30,6 @@
                 while let Some((kind, seed)) = all.get(next.fetch_add(1, Ordering::Relaxed)) {
                     match play(*kind, *seed, program, with_operator) {
                         Ok(verdict) => {
-                            if std::env::var("DBG").is_ok() {
-                                println!(
-                                    "{kind:?} {seed} {with_operator}: doubled {} lost {} broken {:?}",
-                                    verdict.doubled,
-                                    verdict.lost,
-                                    verdict.broken.len()
-                                );
-                            }
                             if with_operator && !verdict.is_clean() {
                                 println!("{kind:?} {seed}: {verdict:?}");
                             }
@@ -150,10 +142,10 @@
     let (check_ns, rebuild_us) = gate();
     let (without, _) = days(program, false);
     println!(
-        "baseline, the same days without the operator's file: txns={} forbidden={} worst_stop_ms={} lost={} doubled={}",
+        "baseline, the same days without the operator's file: txns={} forbidden={} worst_stop_ms={:.1} lost={} doubled={}",
         without.txns,
         without.forbidden,
-        without.worst_stop.as_millis(),
+        without.worst_stop.as_secs_f64() * 1e3,
         without.lost,
         without.doubled
     );
@@ -162,7 +154,7 @@
         println!("broken: {broken}");
     }
     println!(
-        "measure releases: days={played} txns={} settled={} declined={} voided={} forbidden={} worst_stop_ms={} lost={} \
+        "measure releases: days={played} txns={} settled={} declined={} voided={} forbidden={} worst_stop_ms={:.1} lost={} \
          doubled={} broken_rules={} wrongly_closed={} check_ns={check_ns:.1} rebuild_us={rebuild_us:.0} \
          baseline_forbidden={} seconds={:.0}",
         found.txns,
@@ -170,7 +162,7 @@
         found.declined,
         found.voided,
         found.forbidden,
-        found.worst_stop.as_millis(),
+        found.worst_stop.as_secs_f64() * 1e3,
         found.lost,
         found.doubled,
         found.broken.len(),
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -3,7 +3,7 @@
 //! does goes on record at once: what forbids something is noted once it is written, what allows it before.
 use std::collections::BTreeMap;
 use std::io::{BufReader, ErrorKind, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::agent::{Agent, free, free_for_datagrams};
+use crate::agent::{Agent, free_at, free_datagrams_at, own_host};
 use crate::post::{self, LISTENS, PING, QUIET, WATCH, chunk, command, head, line, resp, rollout};
 use crate::record::{Final, Kind, Record, Seen};
 use crate::start::{Start, entry};
@@ -31,8 +31,8 @@
 }
 
 impl Listening {
-    fn new(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> Listening {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    fn new(host: Ipv4Addr, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> Listening {
+        let listener = TcpListener::bind((host, 0)).expect("a free port");
         let at = listener.local_addr().expect("its address");
         let (up, conns) = (Arc::new(AtomicBool::new(true)), Arc::<Mutex<Vec<TcpStream>>>::default());
         let (is_up, kept, serve) = (up.clone(), conns.clone(), Arc::new(serve));
@@ -86,10 +86,10 @@
 }
 
 impl Node {
-    fn new(number: usize, manners: Manners, seed: u64, record: Record) -> Node {
+    fn new(host: Ipv4Addr, number: usize, manners: Manners, seed: u64, record: Record) -> Node {
         let manners = Arc::new(Mutex::new(manners));
         let (kept, chance) = (manners.clone(), Mutex::new(Pcg64Mcg::seed_from_u64(seed)));
-        let listening = Listening::new(move |conn| {
+        let listening = Listening::new(host, move |conn| {
             let mut from = BufReader::new(conn.try_clone().expect("a second handle"));
             while let Some(said) = resp(&mut from) {
                 let id =
@@ -181,11 +181,11 @@
 }
 
 impl Desk {
-    fn new(state: State, own: bool, record: Record, on_vote: OnVote) -> Desk {
+    fn new(host: Ipv4Addr, state: State, own: bool, record: Record, on_vote: OnVote) -> Desk {
         let (audience, state) = (Audience::new(PING), Arc::new(Mutex::new(state)));
         let (all, kept, noted) = (audience.clone(), state.clone(), record.clone());
         let on_vote = Mutex::new(on_vote);
-        let listening = Listening::new(move |conn| {
+        let listening = Listening::new(host, move |conn| {
             let mut from = BufReader::new(conn.try_clone().expect("a second handle"));
             while let Some(said) = line(&mut from) {
                 let number = |name: &str| {
@@ -300,6 +300,8 @@
     program: PathBuf,
     start: Start,
     listen: SocketAddr,
+    /// The address at which all of it listens.
+    host: Ipv4Addr,
     pub agent: Option<Agent>,
     has_operator: bool,
     clients: Vec<JoinHandle<()>>,
@@ -314,12 +316,12 @@
 impl Town {
     /// Everything but the agent, which plays the program at this path.
     pub fn new(program: &Path, seed: u64, state: State, on_vote: OnVote) -> Town {
-        let record = Record::default();
-        let platform = Desk::new(state, true, record.clone(), on_vote);
+        let (record, host) = (Record::default(), own_host());
+        let platform = Desk::new(host, state, true, record.clone(), on_vote);
         note_news(&record, state);
         let (watchers, list) = (Audience::new(QUIET), Arc::new(Mutex::new((1, Vec::<String>::new()))));
         let (all, whole) = (watchers.clone(), list.clone());
-        let discovery = Listening::new(move |conn| {
+        let discovery = Listening::new(host, move |conn| {
             let mut from = BufReader::new(conn.try_clone().expect("a second handle"));
             while head(&mut from).is_some() {
                 let mut conns = locked(&all.conns);
@@ -361,7 +363,8 @@
             folder: tempfile::tempdir().expect("a folder"),
             program: program.to_owned(),
             start,
-            listen: free(),
+            listen: free_at(host),
+            host,
             agent: None,
             has_operator: false,
             clients: Vec::new(),
@@ -378,7 +381,7 @@
 
     /// A further service's desk.
     pub fn desk(&mut self, name: &str, state: State) {
-        let desk = Desk::new(state, false, self.record.clone(), Box::new(|_, _, _, _| None));
+        let desk = Desk::new(self.host, state, false, self.record.clone(), Box::new(|_, _, _, _| None));
         self.desks.insert(name.into(), desk);
     }
 
@@ -386,7 +389,7 @@
     pub fn node(&mut self, manners: Manners) -> usize {
         let number = self.nodes.len();
         let seed = self.seed.wrapping_mul(31).wrapping_add(number as u64);
-        self.nodes.push(Node::new(number, manners, seed, self.record.clone()));
+        self.nodes.push(Node::new(self.host, number, manners, seed, self.record.clone()));
         number
     }
 
@@ -471,14 +474,14 @@
         let operator = Some(self.file("operator.xml")).filter(|_| with_operator && self.has_operator);
         let up = (0..5).any(|_| {
             if self.clients.is_empty() {
-                self.listen = free();
+                self.listen = free_at(self.host);
             }
             let places = [
-                ("PEER_LISTEN", free_for_datagrams().to_string()),
+                ("PEER_LISTEN", free_datagrams_at(self.host).to_string()),
                 ("LISTEN", self.listen.to_string()),
                 ("DISCOVERY", self.discovery.at.to_string()),
                 ("PLATFORM", self.platform.at().to_string()),
-                ("PEER", free_for_datagrams().to_string()),
+                ("PEER", free_datagrams_at(self.host).to_string()),
                 ("KNOWN", locked(&self.list).1.join(",")),
             ];
             std::fs::write(self.file("start.json"), self.start.with(&places)).expect("the start file");
