--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod record;
 pub mod start;
 pub mod town;
+pub mod virtually;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,12 +35,14 @@
     a.barred() && !panic && (now < a.record.barred_until || !a.out.is_empty())
 }
 
-/// Leaves an appliance alone for a while, twice as long each time in a row.
-fn strike(record: &mut Record, now: Duration) {
-    if now >= record.barred_until {
+/// Leaves an appliance alone for a while, twice as long each time in a row. Whether that is news.
+fn strike(record: &mut Record, now: Duration) -> bool {
+    let strikes = now >= record.barred_until;
+    if strikes {
         record.bar = (record.bar * 2).clamp(RECENT, RECENT * 8);
         record.barred_until = now + record.bar;
     }
+    strikes
 }
 
 impl Roster {
@@ -438,6 +440,7 @@
             let stays = openings.is_some_and(|o| !o.may_step(news.build, news.stage));
             self.jury.round(now, &self.roster, news, (self.stock.lost, stays), out);
         }
+        self.stock.notes.drain(..).for_each(|note| out.note(note));
         let beat = beat.max(now + self.desk.tick * 2);
         if self.stock.wake_at <= now || beat < self.stock.wake_at {
             self.stock.wake_at = beat;
@@ -460,10 +463,11 @@
         // Silence: several submissions wait far longer than usual, and nothing came since the oldest. Guards
         // against machines that vanished, froze or were cut off, long before the list tells.
         let patience = 6.0 * self.stock.middle_pace * self.stock.usual_work;
-        for a in self.roster.fleet.0.values_mut() {
+        for (&at, a) in &mut self.roster.fleet.0 {
             let silent = a.unheard_since().map(|o| now.saturating_sub(o.max(self.stock.woke)).as_secs_f64());
-            if silent.is_some_and(|s| s > patience) {
-                strike(&mut a.record, now);
+            if silent.is_some_and(|s| s > patience) && strike(&mut a.record, now) {
+                let until = a.record.barred_until;
+                self.stock.notes.push(Note::Barred { at, why: "silent", until });
             }
         }
         self.arrange();
@@ -513,12 +517,14 @@
         let vain =
             failed && self.chance.random::<f64>() > self.demand.again.helped(now, self.stock.few) + 0.1;
         if !more || hopeless || if fresh { self.crowded(&terms, sla_left) } else { vain } {
-            self.give_up(id, out);
+            let late = if hopeless { "late" } else { "no-more" };
+            let why = if !more || hopeless { late } else { ["vain", "crowded"][usize::from(fresh)] };
+            self.give_up(id, why, out);
             return None;
         }
         let Some(to) = self.choose(id) else {
             if self.shut_out(id) {
-                self.give_up(id, out);
+                self.give_up(id, "closed", out);
                 return None;
             }
             self.stock.next = now;
@@ -553,7 +559,8 @@
         (wait - idle) / of.as_secs_f64().max(1e-6)
     }
 
-    fn give_up(&mut self, id: TxnId, out: &mut dyn Decisions) {
+    fn give_up(&mut self, id: TxnId, why: &'static str, out: &mut dyn Decisions) {
+        out.note(Note::GivenUp(why));
         let Some(h) = self.desk.held.remove(&id) else { return };
         let safe = matches!(h.terms.repeat, Repeat::InquiryLike | Repeat::Referenced(Group::All));
         if safe || h.risk.is_none() {
@@ -680,6 +687,7 @@
         let leg = Leg(h.legs.len() as u8);
         let young = self.jury.own.on_trial(build) && self.thaw.young(&a.line, now);
         let out_there = Out { sent: now, work, product: txn.product, build, young, mute: a.barred() };
+        self.stock.notes.extend(out_there.mute.then_some(Note::Tried(to)));
         a.sent(now, self.thaw.span, (id, leg), out_there);
         h.legs.push(Submission { to, build, group, sent: now, ending: None, called_off: false });
         // Until it is proved not to have run, it may have: the group and window of a repeat are fixed by it.
@@ -740,14 +748,21 @@
             }
             self.demand.served(now, (RECENT, USUAL), o.work);
             self.jury.own.work([if took <= sla { o.work } else { 0.0 }, 0.0, 0.0]);
-            a.record.bar = if now < a.record.barred_until { a.record.bar } else { Duration::ZERO };
+            if a.barred() && now >= a.record.barred_until {
+                a.record.bar = Duration::ZERO;
+                self.stock.notes.push(Note::Unbarred(at));
+            }
         }
         // An appliance that breaks connections or fails far more than others of its build is left alone a
         // while, a build as a whole never: its failures are the test's evidence. Spoilt answers say less.
         let fails = a.record.fails.share(now, RECENT, 1.0);
         let worse = many > 0.0 && fails > sum / many + if ending == Ending::Spoilt { 0.6 } else { 0.3 };
         if worse || matches!(ending, Ending::Unconnected | Ending::Broken) {
-            strike(&mut a.record, now);
+            let why = if worse { "fails" } else { "unlinked" };
+            if strike(&mut a.record, now) {
+                let until = a.record.barred_until;
+                self.stock.notes.push(Note::Barred { at, why, until });
+            }
         }
         self.stock.heard += 1;
         if !blurred {
--- a/src/port.rs
+++ b/src/port.rs
@@ -208,6 +208,22 @@
     fn woken(&mut self, _ticket: Ticket) {}
 }
 
+/// Something that the module notes by the way, for whoever keeps a record. Nothing depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// An appliance is left alone, why, and until when it is not even tried.
+    Barred {
+        at: ApplianceId,
+        why: &'static str,
+        until: Duration,
+    },
+    /// One that was left alone is tried with a txn.
+    Tried(ApplianceId),
+    Unbarred(ApplianceId),
+    /// A txn is given up, by reason.
+    GivenUp(&'static str),
+}
+
 /// Takes the module's decisions as they are made, one method a decision.
 pub trait Decisions {
     fn submit(&mut self, id: TxnId, to: ApplianceId, give_up_after: Duration);
@@ -223,4 +239,5 @@
     fn watch_roster(&mut self, on: bool);
     fn fetch_roster(&mut self);
     fn vote(&mut self, build: Build, stage: Stage, verdict: Verdict);
+    fn note(&mut self, _note: Note) {}
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -445,6 +445,8 @@
 /// The fleet at a glance, as of the last walk over it.
 #[derive(Default)]
 pub(crate) struct Stock {
+    /// Noted since the last round's end.
+    pub(crate) notes: Vec<Note>,
     /// When to wake next, and until when the agent itself last stood still.
     pub(crate) wake_at: Duration,
     pub(crate) woke: Duration,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,6 +11,7 @@
 //!                                          open all: the operator's rules are gone
 //!     wrong APPLIANCE PRODUCT AGO          an answer sent so long ago was found wrong
 //!     report FROM BUILD SERIAL T/U/A [ID:PRODUCT:MANY:BAD ..]  a peer's report: work in time, usual, asked, counts
+//!     noted TEXT                                    a note since the start holds this
 //!     restart                                       the agent dies and comes back
 //!     flow MS PRODUCT SHARES               until then a txn every 10 ms, answered after 50 ms; of SHARES, as
 //!                                          BUILD=N or @ID=N, every Nth fails
@@ -32,6 +33,7 @@
 struct Written {
     now: Vec<String>,
     ever: Vec<String>,
+    noted: Vec<String>,
     out: VecDeque<(TxnId, Leg, ApplianceId)>,
     legs: BTreeMap<TxnId, u8>,
 }
@@ -74,6 +76,9 @@
         self.put("watch".into());
     }
     fn fetch_roster(&mut self) {}
+    fn note(&mut self, note: Note) {
+        self.noted.push(format!("{note:?}"));
+    }
     fn vote(&mut self, build: Build, stage: Stage, verdict: Verdict) {
         self.put(format!("vote {} {} {verdict:?}", build.0, stage.0).to_lowercase());
     }
@@ -278,6 +283,10 @@
                 let open = Arc::new(Openings::new(3, 1, &rows, step));
                 self.round(|ear| ear.openings(Some(open)));
             }
+            ["noted", rest @ ..] => {
+                let rest = rest.join(" ");
+                assert!(self.written.noted.iter().any(|n| n.contains(&rest)), "{:?}", self.written.noted);
+            }
             ["restart"] => self.brain = None,
             ["flow", until, product, fails @ ..] => {
                 let pair = |f: &&str| f.split_once('=').map(|(b, n)| (b.to_string(), n.parse().expect("N")));
