The agent records its time lines, in memory and in a store that outlives it

A recorder taps what the module hears and decides; <timeline> in the operator's file turns it on. An age test found that files of a later version were taken for old and removed; they are left alone now.

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -207,6 +207,8 @@
             number.0 = number.0.wrapping_add(1);
         }
         numbers.insert(name.to_owned(), number);
+        let name = name.to_owned();
+        self.hub.tell(move |ear| ear.recorder.named(number, &name));
         number
     }
 
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -16,6 +16,7 @@
 
 use crate::keeper::{Ears, Keeper};
 use crate::log::{Count, count, say};
+use crate::recorder::Recorder;
 
 /// Something that the module is to hear, or the gate beside it.
 type Call = Box<dyn FnOnce(&mut Ears)>;
@@ -228,6 +229,7 @@
     pub peers: Option<Rc<dyn Tells>>,
     /// What the operator's own rules leave open.
     pub keeper: Keeper,
+    pub recorder: Rc<Recorder>,
     /// The module's own wake-ups that are not due yet.
     pub wakes: BTreeSet<(Duration, Ticket)>,
 }
@@ -238,7 +240,8 @@
         let queue = self.hub.queue.1.clone();
         let (hub, clock) = (self.hub.clone(), self.hub.clock);
         loop {
-            let next = self.wakes.first().map(|(at, _)| *at).into_iter().chain(self.keeper.next()).min();
+            let wake = self.wakes.first().map(|(at, _)| *at);
+            let next = [wake, self.keeper.next(), self.recorder.next()].into_iter().flatten().min();
             let alarm = async {
                 match next {
                     Some(at) => clock.until(at).await,
@@ -256,11 +259,12 @@
             }
             count(Count::Rounds);
             self.wakes.retain(|(at, _)| *at > now);
-            let mut keeper = std::mem::take(&mut self.keeper);
+            let (mut keeper, recorder) = (std::mem::take(&mut self.keeper), self.recorder.clone());
+            recorder.advance(now);
             brain.round(
                 now,
                 |module| {
-                    let mut ears = Ears { module, keeper: &mut keeper, now };
+                    let mut ears = Ears { module, keeper: &mut keeper, recorder: &recorder, now };
                     ears.advance();
                     first.into_iter().for_each(|call: Call| call(&mut ears));
                     hub.hear(&mut ears);
@@ -291,20 +295,24 @@
         let until =
             if give_up_after.is_zero() { owed.until } else { owed.until.min(self.now + give_up_after) };
         let wording = owed.wording.clone();
+        self.hands.recorder.book(|book| book.submit(self.now, id, leg, to));
         self.hands.appliances.clone().submit((id, leg), to, wording, self.now, until);
     }
 
     fn decline(&mut self, id: TxnId, come_back_in: Duration) {
+        self.hands.recorder.book(|book| book.closed(id));
         self.hands.hub.answer(id, Answer::Declined(come_back_in));
         self.hands.hub.owed.borrow_mut().remove(&id);
     }
 
     fn void(&mut self, id: TxnId) {
+        self.hands.recorder.book(|book| book.closed(id));
         self.hands.hub.answer(id, Answer::Voided);
         self.hands.hub.owed.borrow_mut().remove(&id);
     }
 
     fn call_off(&mut self, id: TxnId, leg: Leg) {
+        self.hands.recorder.book(|book| book.called_off(self.now, id, leg));
         self.hands.appliances.call_off((id, leg));
     }
 
@@ -327,6 +335,7 @@
     }
 
     fn log(&mut self, text: &str) {
+        self.hands.recorder.book(|book| book.words(text));
         say!("{text}");
     }
 
@@ -339,6 +348,11 @@
     }
 
     fn vote(&mut self, build: Build, stage: Stage, verdict: Verdict) {
+        self.hands.recorder.book(|book| book.vote(self.now, build, stage, verdict));
         self.hands.platform.clone().vote(build, stage, verdict);
     }
+
+    fn note(&mut self, note: Note) {
+        self.hands.recorder.book(|book| book.note(self.now, note));
+    }
 }
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -1,5 +1,5 @@
 //! Owns the gate beside the module: what it goes by, and the way of everything that is heard through it to the module,
-//! so that what narrows the module is always as new as what it is told. It must never open anything by itself, nor do
+//! so that what narrows the module is always as new as what it is told; the recorder hears it by the way. It must never open anything by itself, nor do
 //! I/O.
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,6 +13,7 @@
 use lilacgate_releases::model::ServiceId;
 
 use crate::log::{Count, count, say};
+use crate::recorder::Recorder;
 
 /// The gate and what it goes by, beside the module. Without an operator's file there is none, and nothing is narrowed.
 #[derive(Default)]
@@ -40,6 +41,7 @@
 pub struct Ears<'a> {
     pub module: &'a mut dyn Hears,
     pub keeper: &'a mut Keeper,
+    pub recorder: &'a Recorder,
     pub now: Duration,
 }
 
@@ -129,6 +131,7 @@
                 _ => drop(self.keeper.listed.insert(line.appliance, line.build)),
             }
         }
+        self.recorder.book(|book| book.roster(self.now, listing, &lines));
         let builds: Vec<Build> = self.keeper.listed.values().copied().collect();
         self.gate(|gate, now| gate.list(now, builds.into_iter()));
         self.module.roster(listing, &mut lines.into_iter());
@@ -137,15 +140,18 @@
     fn stage(&mut self, build: Build, stage: Stage, course: Course, cap: f64, age: Duration) {
         let told = Told { build, stage, course, since: self.now.saturating_sub(age) };
         self.keeper.own = Some(told);
+        self.recorder.book(|book| book.stage(self.now, build, stage, course, age));
         self.gate(|gate, now| gate.hear(now, gate.rules().own, told));
         self.module.stage(build, stage, course, cap, age);
     }
 
     fn txn(&mut self, id: TxnId, txn: Txn) {
+        self.recorder.book(|book| book.txn(id, txn.product));
         self.module.txn(id, txn);
     }
 
     fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
+        self.recorder.book(|book| book.ended(self.now, (id, leg), at, ending, took, closed));
         self.module.ended(id, leg, at, ending, took, closed);
     }
 
@@ -154,6 +160,7 @@
     }
 
     fn client_left(&mut self, id: TxnId) {
+        self.recorder.book(|book| book.closed(id));
         self.module.client_left(id);
     }
 
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -144,6 +144,7 @@
     Votes "votes"
     ServiceNews "service_news"
     Openings "openings"
+    Departures "departures"
     PeersOut "datagrams_sent"
     PeersIn "datagrams_taken"
     Strangers "datagrams_dropped"
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -13,6 +13,7 @@
 mod log;
 mod peers;
 mod platform;
+mod recorder;
 mod releases;
 mod resp;
 mod ring;
@@ -85,7 +86,7 @@
     let discovery =
         discovery::Discovery::new(hub.clone(), appliances.clone(), told.discovery, settings, most)?;
     let platform = platform::Platform::new(hub.clone(), told.platform, settings)?;
-    let (releases, gate) = releases::File::new(asking.operator, &told.name, settings, hub.clone())?;
+    let (releases, gate, timeline) = releases::File::new(asking.operator, &told.name, settings, hub.clone())?;
     let peers = match told.peer_listen {
         Some(listen) => Some(peers::Peers::new(hub.clone(), listen, told.peers, told.peers_all)?),
         None => None,
@@ -107,8 +108,10 @@
     let asked = (discovery.clone(), platform.clone());
     let signals = Asked { heard, file, first: told.file, discovery: asked.0, platform: asked.1, releases };
     let peers = peers.map(|peers| peers as Rc<dyn hub::Tells>);
-    let (keeper, wakes) = (keeper::Keeper::new(gate), BTreeSet::new());
-    let hands = hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, keeper, wakes };
+    let recorder = recorder::Recorder::new(&told.name, &told.settings, timeline, hub.clock.now())?;
+    let (keeper, recorder, wakes) = (keeper::Keeper::new(gate), Rc::new(recorder), BTreeSet::new());
+    let hands =
+        hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, keeper, recorder, wakes };
     hub.spawn(hands.host(brain));
     hub.spawn(clients.clone().sweep());
     hub.spawn(clients.clone().accept(listener));
--- /dev/null
+++ b/crates/agent/src/recorder.rs
@@ -0,0 +1,233 @@
+//! Owns the agent's time lines: what the module hears and decides goes into a book beside it, and from there, off the
+//! path of the txns, to the store that the operator's file names. It must never change a decision, wait for a disk, nor
+//! cost a txn: what the disk is too slow for is left out and counted.
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use lilacgate::port::*;
+use lilacgate_operator::Timeline;
+use lilacgate_start::Paths;
+use lilacgate_store::frames;
+use lilacgate_store::pump::{Handed, Pump};
+use lilacgate_store::writer::{Bounds, Real, Writer};
+use lilacgate_timeline::book::{Book, Room};
+use lilacgate_timeline::entry::{Record, StepRecord, Whom};
+use lilacgate_timeline::steps::Step;
+use lilacgate_timeline::watch::Aims;
+
+use crate::log::{Count, count, say};
+
+/// Records that wait for the disk at most.
+const WAITING: usize = 4096;
+/// They are handed over this often.
+const BATCH: Duration = Duration::from_secs(1);
+
+/// What does not change while the agent runs.
+struct Told {
+    agent: String,
+    products: Vec<String>,
+    ramp: Duration,
+}
+
+struct Open {
+    book: Book,
+    set: Timeline,
+    pump: Option<Pump>,
+    /// What the disk was too slow for, to be handed over first.
+    behind: Vec<Record>,
+    next: Duration,
+}
+
+/// Keeps a record, if the operator's file wants one.
+pub struct Recorder {
+    told: Told,
+    open: RefCell<Option<Open>>,
+    /// The names of nodes: they outlast the book.
+    names: RefCell<Vec<(ApplianceId, String)>>,
+}
+
+impl Recorder {
+    /// Keeps nothing.
+    #[cfg(test)]
+    pub fn none() -> Recorder {
+        let told = Told { agent: String::new(), products: Vec::new(), ramp: Duration::ZERO };
+        Recorder { told, open: RefCell::default(), names: RefCell::default() }
+    }
+
+    /// # Errors
+    /// A setting that cannot be used.
+    pub fn new(agent: &str, told: &Paths, set: Option<Timeline>, now: Duration) -> Result<Recorder, String> {
+        let count: u8 = told.num("profiles.count")?;
+        let product = |i| told.text(&format!("profiles.{i}.name")).map(str::to_owned);
+        let products = (0..count).map(product).collect::<Result<_, _>>()?;
+        let told = Told { agent: agent.into(), products, ramp: told.span("rules.ramp-time")? };
+        let recorder = Recorder { told, open: RefCell::default(), names: RefCell::default() };
+        recorder.order(now, set);
+        Ok(recorder)
+    }
+
+    /// Takes what the operator's file sets now; lines go on where it sets the same.
+    pub fn order(&self, now: Duration, set: Option<Timeline>) {
+        let mut open = self.open.borrow_mut();
+        if open.as_ref().map(|open| &open.set) == set.as_ref() {
+            return;
+        }
+        *open = set.map(|set| {
+            let aims = Aims {
+                false_per_hour: set.false_per_hour,
+                ramp: self.told.ramp,
+                products: self.told.products.len(),
+            };
+            let records = if set.store.is_some() { WAITING } else { 0 };
+            let book = Book::new(now, aims, Room { octets: set.memory, records });
+            let pump = set.store.as_ref().and_then(|store| {
+                let bounds = Bounds { bytes: store.keep, age: store.age };
+                let writer = Writer::new(&store.folder, bounds, Box::new(Real));
+                let fault =
+                    |fault| say!("timeline: nothing is kept on disk: {}: {fault}", store.folder.display());
+                writer.map_err(fault).ok().map(Pump::new)
+            });
+            let behind = if pump.is_some() { self.beginning(now) } else { Vec::new() };
+            Open { book, set, pump, behind, next: now + BATCH }
+        });
+    }
+
+    /// What stands first: the start, and the names known.
+    fn beginning(&self, at: Duration) -> Vec<Record> {
+        let start =
+            Record::Start { agent: self.told.agent.clone(), at, products: self.told.products.clone() };
+        let names = self.names.borrow();
+        let name = |(node, name): &(ApplianceId, String)| Record::Name { node: node.0, name: name.clone() };
+        std::iter::once(start).chain(names.iter().map(name)).collect()
+    }
+
+    /// A node's number and name.
+    pub fn named(&self, node: ApplianceId, name: &str) {
+        let mut names = self.names.borrow_mut();
+        if !names.iter().any(|(known, _)| *known == node) {
+            // As many names as a list may hold; what is gone for long is not needed.
+            if names.len() >= WAITING {
+                names.remove(0);
+            }
+            names.push((node, name.into()));
+            if let Some(open) = self.open.borrow_mut().as_mut().filter(|open| open.pump.is_some()) {
+                open.behind.push(Record::Name { node: node.0, name: name.into() });
+            }
+        }
+    }
+
+    /// Passes something to the book, if there is one.
+    pub fn book(&self, tell: impl FnOnce(&mut Book)) {
+        if let Some(open) = self.open.borrow_mut().as_mut() {
+            tell(&mut open.book);
+        }
+    }
+
+    /// When time alone is to be told.
+    pub fn next(&self) -> Option<Duration> {
+        self.open.borrow().as_ref().map(|open| open.book.next())
+    }
+
+    /// Time has passed: departures go to the log, records to the store.
+    pub fn advance(&self, now: Duration) {
+        let mut open = self.open.borrow_mut();
+        let Some(open) = open.as_mut() else { return };
+        open.book.advance(now);
+        for (departure, begins) in open.book.said() {
+            if !begins {
+                say!("timeline: departure {} has ended", departure.number);
+                continue;
+            }
+            count(Count::Departures);
+            let whom = match departure.whom {
+                Whom::Node(node) => {
+                    let names = self.names.borrow();
+                    let name = names.iter().find(|(id, _)| id.0 == node).map(|(_, name)| name.as_str());
+                    format!("node {}", name.unwrap_or("?"))
+                }
+                Whom::Build(build) => format!("build {build}"),
+                Whom::Fleet => "the fleet".into(),
+            };
+            let (number, kind) = (departure.number, departure.kind);
+            let product = departure.product.and_then(|product| self.told.products.get(usize::from(product)));
+            let product = product.map(|name| format!(" for {name}")).unwrap_or_default();
+            let (usual, seen) = (departure.usual, departure.seen);
+            say!(
+                "timeline: departure {number}: {whom}: {kind:?}{product}, {seen:.2} where {usual:.2} is usual"
+            );
+        }
+        if now >= open.next {
+            open.next = now + BATCH;
+            open.hand(now);
+        }
+    }
+
+    /// All lines as one segment, in the store's own form.
+    fn whole(&self, now: Duration) -> Vec<u8> {
+        let mut records = self.beginning(now);
+        if let Some(open) = self.open.borrow().as_ref() {
+            records.extend(open.book.own().as_of(Duration::MAX).cloned().map(Record::Entry));
+            for node in open.book.nodes() {
+                let Some(line) = open.book.line(node) else { continue };
+                records.extend(line.as_of(Duration::MAX).cloned().map(Record::Entry));
+                let step = |(long, step): (Duration, Step)| {
+                    let latency = step.latency.octets().to_vec();
+                    let (from, counts) = (step.from, step.counts);
+                    Record::Step(StepRecord { node, from, long, build: 0, counts, latency })
+                };
+                records.extend(line.steps.since(Duration::ZERO).into_iter().map(step));
+            }
+        }
+        let mut bytes = frames::head(now.as_secs()).to_vec();
+        records.iter().for_each(|record| frames::put(&mut bytes, record));
+        bytes
+    }
+
+    /// Writes all lines where the file wants them, off the loop, by rename.
+    pub fn dump(&self, now: Duration) {
+        let path: Option<PathBuf> = self.open.borrow().as_ref().and_then(|open| open.set.dump.clone());
+        let Some(path) = path else { return };
+        let bytes = self.whole(now);
+        std::thread::spawn(move || match write(&path, &bytes) {
+            Ok(()) => say!("timeline: written to {}", path.display()),
+            Err(fault) => say!("timeline: not written to {}: {fault}", path.display()),
+        });
+    }
+}
+
+fn write(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let new = path.with_extension("new");
+    std::fs::write(&new, bytes)?;
+    std::fs::rename(&new, path)
+}
+
+impl Open {
+    fn hand(&mut self, now: Duration) {
+        let Some(pump) = &mut self.pump else { return };
+        let mut batch = std::mem::take(&mut self.behind);
+        batch.extend(self.book.records());
+        if batch.is_empty() {
+            return;
+        }
+        match pump.hand(now, batch) {
+            Handed::Taken => {}
+            Handed::Behind(mut batch) => {
+                // The finest detail goes first; what is left waits for the next time.
+                let all = batch.len();
+                if all > WAITING {
+                    batch.retain(|record| !matches!(record, Record::Step(_)));
+                    batch.truncate(WAITING);
+                    batch.push(Record::LeftOut { at: now, many: (all - batch.len()) as u64 });
+                }
+                self.behind = batch;
+            }
+            Handed::Over(why) => {
+                self.pump = None;
+                if let Some(why) = why {
+                    say!("timeline: nothing more is kept on disk: {why}");
+                }
+            }
+        }
+    }
+}
--- a/crates/agent/src/releases.rs
+++ b/crates/agent/src/releases.rs
@@ -8,7 +8,7 @@
 
 use async_channel::Sender;
 use lilacgate::port::Tenant;
-use lilacgate_operator::{Known, Operator, Releases};
+use lilacgate_operator::{Known, Operator, Releases, Timeline};
 use lilacgate_releases::facts::Told;
 use lilacgate_releases::gate::Gate;
 use lilacgate_releases::model::ServiceId;
@@ -21,6 +21,9 @@
 /// News and signs of life that another service's desk may send in a second. One a second is due, and each change.
 const NOISE: u32 = 64;
 
+/// What a file orders: releases, with the firm whose txns are routed here, and time lines.
+type Ordered = (Option<(Releases, Tenant)>, Option<Timeline>);
+
 /// The operator's file, and the desks that it names.
 pub struct File {
     path: Option<PathBuf>,
@@ -47,7 +50,7 @@
     /// All its faults, a line each.
     pub fn new(
         path: Option<PathBuf>, agent: &str, told: &Paths, hub: Rc<Hub>,
-    ) -> Result<(File, Option<Gate>), String> {
+    ) -> Result<(File, Option<Gate>, Option<Timeline>), String> {
         let products: u8 = told.num("profiles.count")?;
         let product = |i| told.text(&format!("profiles.{i}.name")).map(str::to_owned);
         let known = Known {
@@ -58,26 +61,26 @@
         let (state, desks) = Default::default();
         let file = File { path, agent: agent.to_owned(), known, hub, connect_within, state, desks };
         let read = file.read().map_err(|faults| faults.join("\nlilacgate: "))?;
-        let gate = match &read {
+        let gate = match &read.0 {
             Some((releases, me)) => {
                 let gate = Gate::new(releases.rules.clone(), Some(*me), file.hub.clock.now());
                 Some(gate.map_err(|_| "the operator's file: needs go in a circle")?)
             }
             None => None,
         };
-        file.attend(read.as_ref().map(|(releases, _)| releases));
-        Ok((file, gate))
+        file.attend(read.0.as_ref().map(|(releases, _)| releases));
+        Ok((file, gate, read.1))
     }
 
-    /// The releases that the file orders, and the firm whose txns this agent routes.
-    fn read(&self) -> Result<Option<(Releases, Tenant)>, Vec<String>> {
-        let Some(path) = &self.path else { return Ok(None) };
+    /// The releases that the file orders, with the firm whose txns this agent routes, and its time lines.
+    fn read(&self) -> Result<Ordered, Vec<String>> {
+        let Some(path) = &self.path else { return Ok((None, None)) };
         let named = |fault| format!("the operator's file {}: {fault}", path.display());
-        let Operator { places, releases } = lilacgate_operator::load(path, &self.known)
+        let Operator { places, releases, timeline } = lilacgate_operator::load(path, &self.known)
             .map_err(|faults| faults.into_iter().map(|fault| named(fault.to_string())).collect::<Vec<_>>())?;
-        let Some(releases) = releases else { return Ok(None) };
+        let Some(releases) = releases else { return Ok((None, timeline)) };
         match places.firm_of(&self.agent) {
-            Some(me) => Ok(Some((releases, me))),
+            Some(me) => Ok((Some((releases, me)), timeline)),
             None => Err(vec![named(format!("<places>: no <agent> is named {:?}", self.agent))]),
         }
     }
@@ -85,12 +88,15 @@
     /// Reads the file again; one that cannot be used changes nothing.
     pub fn reload(&self) {
         match self.read() {
-            Ok(read) => {
+            Ok((read, timeline)) => {
                 if self.path.is_some() {
                     say!("reload: the operator's file is taken over");
                 }
                 let releases = read.as_ref().map(|(releases, _)| releases.clone());
-                self.hub.tell(move |ear| ear.order(read));
+                self.hub.tell(move |ear| {
+                    ear.order(read);
+                    ear.recorder.order(ear.now, timeline);
+                });
                 self.attend(releases.as_ref());
             }
             Err(faults) => faults.iter().for_each(|fault| say!("reload: {fault}; nothing changes")),
@@ -132,6 +138,7 @@
 
     /// Writes the gate's state where the file wants it, off the loop, by rename.
     pub fn write_state(&self) {
+        self.hub.tell(|ear| ear.recorder.dump(ear.now));
         let Some(path) = self.state.borrow().clone() else { return };
         let agent = self.agent.clone();
         self.hub.tell(move |ear| {
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -23,6 +23,7 @@
 //!     crowd N / disperse           so many clients connect and stay / all of them leave
 //!     later MS                     so much time passes
 //!     another agent                that file names another one
+//!     timeline ATTRIBUTES          that file has a <timeline> with these
 //!     operator XML                 what the operator's file holds in <releases>; AT-NAME is where that desk listens
 //!     desk NAME                    a release desk of another service
 //!     service NAME asked|dies|vanishes|raw BYTES|BUILD STAGE STATE   a listener came / its connection breaks / it
@@ -318,6 +319,10 @@
             ("another", _) => {
                 self.operator = self.operator.take().map(|text| text.replace("n0", "n7"));
             }
+            ("timeline", _) => {
+                let text = self.operator.take().expect("an operator's file");
+                self.operator = Some(text.replace("</operator>", &format!("<timeline {rest}/></operator>")));
+            }
             ("operator", _) => {
                 let places = r#"<places><zone name="x"/><firm name="f"/><firm name="g"/><product name="read"/>
 <product name="post"/><product name="book"/><agent name="n0" firm="f"/></places>"#;
--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside/mod.rs
@@ -17,6 +17,7 @@
 use crate::json::{self, Json};
 use crate::keeper::{Ears, Keeper};
 use crate::log::Place;
+use crate::recorder::Recorder;
 use crate::resp::{self, Resp};
 use crate::ring::Parse;
 
@@ -126,7 +127,12 @@
     fn until_ended(&mut self, hub: &Hub) -> Option<Ending> {
         async_io::block_on(hub.run(async {
             while self.ended.is_none() {
-                hub.hear(&mut Ears { module: self, keeper: &mut Keeper::default(), now: Duration::ZERO });
+                hub.hear(&mut Ears {
+                    module: self,
+                    keeper: &mut Keeper::default(),
+                    recorder: &Recorder::none(),
+                    now: Duration::ZERO,
+                });
                 futures_lite::future::yield_now().await;
             }
         }));
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod places;
 mod releases;
+mod timeline;
 mod xml;
 
 use std::path::Path;
 
 pub use places::{Known, Places};
 pub use releases::{Desk, Releases};
+pub use timeline::{Store, Timeline};
 pub use xml::Fault;
 
 /// The largest file that is read, in octets.
@@ -24,6 +26,8 @@
     pub places: Places,
     /// Where builds may be used; nothing is narrowed without it.
     pub releases: Option<Releases>,
+    /// Whether time lines are kept; none are without it.
+    pub timeline: Option<Timeline>,
 }
 
 /// Reads a file's text. Zones and products that are known already get the numbers that they have there.
@@ -53,12 +57,13 @@
         let version =
             file.need(root, "version", |text| if text == VERSION { Ok(()) } else { Err("version 1") });
         file.attributes(root, &["version"]);
-        let children = file.children(root, &["places", "releases"]);
+        let children = file.children(root, &["places", "releases", "timeline"]);
         file.at_most_one(&children);
         let of = |name: &str| children.iter().find(|child| child.tag_name().name() == name).copied();
         let places = places::read(&file, root, of("places"), known);
         let releases = of("releases").map(|node| releases::read(&file, node, &places));
-        version.map(|()| Operator { places, releases: releases.flatten() })
+        let timeline = of("timeline").and_then(|node| timeline::read(&file, node));
+        version.map(|()| Operator { places, releases: releases.flatten(), timeline })
     } else {
         file.fault(root, "the root is not <operator>");
         None
--- /dev/null
+++ b/crates/store/tests/store.rs
@@ -0,0 +1,191 @@
+//! The store against damage: torn ends, flipped bytes, full disks, foreign files; and its bounds.
+use std::io::{self, Write};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use lilacgate_store::frames::{self, HEAD};
+use lilacgate_store::pump::{Handed, Pump};
+use lilacgate_store::reader::{read, segments};
+use lilacgate_store::writer::{Bounds, Disk, Real, Segment, Writer};
+use lilacgate_timeline::entry::{Entry, Record, What};
+use proptest::prelude::*;
+
+const BOUNDS: Bounds = Bounds { bytes: 1 << 20, age: Duration::from_secs(3600) };
+
+fn record(number: u32) -> Record {
+    let at = Duration::from_secs(number.into());
+    let what = What::GivenUp { why: "crowded".into(), many: number };
+    Record::Entry(Entry { happened: at, known: at, node: Some(number), what })
+}
+
+fn now(secs: u64) -> Duration {
+    Duration::from_secs(1_796_083_200 + secs)
+}
+
+fn writer(folder: &Path, bounds: Bounds) -> Writer {
+    Writer::new(folder, bounds, Box::new(Real)).expect("a writer")
+}
+
+fn numbers(folder: &Path) -> Vec<u32> {
+    let number = |record: &Record| match record {
+        Record::Entry(Entry { what: What::GivenUp { many, .. }, .. }) => *many,
+        other => panic!("{other:?}"),
+    };
+    read(folder).expect("it is read").records.iter().map(number).collect()
+}
+
+#[test]
+fn what_was_appended_is_there_again() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for life in 0..3 {
+        let mut writer = writer(folder.path(), BOUNDS);
+        for batch in 0..4 {
+            let first = life * 40 + batch * 10;
+            writer.append(now(0), &(first..first + 10).map(record).collect::<Vec<_>>()).expect("it is kept");
+        }
+    }
+    assert_eq!(numbers(folder.path()), (0..120).collect::<Vec<_>>());
+}
+
+#[test]
+fn bounds_hold_in_bytes_and_age() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let bounds = Bounds { bytes: 1 << 17, age: Duration::from_secs(100) };
+    let mut old = writer(folder.path(), bounds);
+    for number in 0..40 {
+        old.append(now(u64::from(number)), &(0..200).map(|_| record(number)).collect::<Vec<_>>())
+            .expect("it is kept");
+        let sum: u64 = segments(folder.path())
+            .expect("files")
+            .iter()
+            .map(|(_, p)| p.metadata().expect("a size").len())
+            .sum();
+        assert!(sum <= bounds.bytes, "{sum}");
+    }
+    let kept = numbers(folder.path());
+    assert!(kept.first() > Some(&0) && kept.last() == Some(&39) && kept.is_sorted());
+    writer(folder.path(), bounds).append(now(1000), &[record(99)]).expect("it is kept");
+    assert_eq!(numbers(folder.path()), [99]);
+}
+
+/// A disk with so much room.
+struct Full(Arc<Mutex<usize>>);
+
+impl Disk for Full {
+    fn open(&mut self, path: &Path) -> io::Result<Box<dyn Segment>> {
+        Ok(Box::new(Filling(Real.open(path)?, self.0.clone())))
+    }
+}
+
+struct Filling(Box<dyn Segment>, Arc<Mutex<usize>>);
+
+impl Write for Filling {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut room = self.1.lock().expect("a lock");
+        let some = bytes.len().min(*room);
+        if some == 0 {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        *room -= some;
+        self.0.write(&bytes[..some])
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()
+    }
+}
+
+impl Segment for Filling {
+    fn sync(&mut self) -> io::Result<()> {
+        self.0.sync()
+    }
+}
+
+#[test]
+fn a_disk_that_fills_amid_a_batch_ends_writing_and_nothing_else() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let room = Arc::new(Mutex::new(HEAD + 110));
+    let writer = Writer::new(folder.path(), BOUNDS, Box::new(Full(room))).expect("a writer");
+    let mut pump = Pump::new(writer);
+    assert_eq!(pump.hand(now(0), vec![record(0)]), Handed::Taken);
+    let mut faults = Vec::new();
+    for number in 1..2000 {
+        match pump.hand(now(0), vec![record(number)]) {
+            Handed::Over(why) => faults.extend(why),
+            _ => std::thread::sleep(Duration::from_micros(100)),
+        }
+    }
+    assert_eq!(faults, ["no storage space"]);
+    drop(pump);
+    // What was whole is there; the next life cuts the torn end off and goes on.
+    let kept = numbers(folder.path());
+    assert!(!kept.is_empty() && kept.iter().copied().eq(0..kept.len() as u32), "{kept:?}");
+    assert_eq!(read(folder.path()).expect("it is read").damaged.len(), 1);
+    self::writer(folder.path(), BOUNDS).append(now(0), &[record(7000)]).expect("it is kept");
+    assert!(read(folder.path()).expect("it is read").damaged.is_empty());
+    assert_eq!(numbers(folder.path()).len(), kept.len() + 1);
+}
+
+#[test]
+fn a_folder_that_cannot_be_written_is_said() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("file");
+    std::fs::write(&file, "x").expect("it is written");
+    assert!(Writer::new(&file.join("under"), BOUNDS, Box::new(Real)).is_err());
+}
+
+#[test]
+fn foreign_and_later_files_cost_only_themselves() {
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::write(folder.path().join("000000000000.seg"), "something else altogether")
+        .expect("it is written");
+    let mut later = frames::head(0);
+    later[4] = 9;
+    std::fs::write(folder.path().join("000000000001.seg"), later).expect("it is written");
+    std::fs::write(folder.path().join("notes.txt"), "x").expect("it is written");
+    writer(folder.path(), BOUNDS).append(now(0), &[record(5)]).expect("it is kept");
+    let read = read(folder.path()).expect("it is read");
+    assert_eq!((read.records, read.damaged.len()), (vec![record(5)], 2));
+}
+
+/// A segment of the first version, as it was written then, stays readable.
+#[test]
+fn the_first_version_stays_readable() {
+    let bytes = include_bytes!("version-1.seg");
+    let (records, end) = frames::records(bytes);
+    assert_eq!((records, end), (vec![record(1), record(300)], bytes.len()));
+    assert_eq!(frames::begun(bytes), Ok(1_796_083_200));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A byte that is flipped costs the rest of its segment, nothing before it and no other segment; nothing panics.
+    #[test]
+    fn a_flipped_byte(at in 0usize..10_000, bit in 0u8..8) {
+        let folder = tempfile::tempdir().expect("a folder");
+        for life in 0..3 {
+            writer(folder.path(), BOUNDS).append(now(0), &(life * 10..life * 10 + 10).map(record).collect::<Vec<_>>()).expect("kept");
+        }
+        let path = folder.path().join("000000000001.seg");
+        let mut bytes = std::fs::read(&path).expect("a segment");
+        let at = at % bytes.len();
+        let before = frames::records(&bytes[..at.max(HEAD)]).0.len() as u32;
+        bytes[at] ^= 1 << bit;
+        std::fs::write(&path, &bytes).expect("it is written");
+        let kept = numbers(folder.path());
+        let harmless = (6..HEAD).contains(&at);
+        let whole = if at < 6 { 0 } else if harmless { 10 } else { before };
+        let want: Vec<u32> = (0..10).chain(10..10 + whole).chain(20..30).collect();
+        prop_assert_eq!(kept, want);
+    }
+
+    /// Whatever stands in a file, reading ends.
+    #[test]
+    fn any_octets(octets in prop::collection::vec(any::<u8>(), 0..300)) {
+        let mut bytes = frames::head(0).to_vec();
+        bytes.extend(octets);
+        prop_assert!(frames::records(&bytes).1 <= bytes.len());
+    }
+}
