--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 # A small fleet on loopback: three releases, told in plain words, in under a minute.
 demo:
-	cargo build --release -p lilacgate-agent -p lilacgate-standin
+	cargo build --release -p lilacgate-agent -p lilacgate-standin -p lilacgate-ctl
 	target/release/lilacgate-standin demo
 
 # Figures on loopback, in under a minute on four cores; the last line holds them all.
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,8 +8,11 @@
 
 mod chart;
 mod check;
+mod lines;
+mod plot;
 mod releases;
 mod time;
+mod timeline;
 
 use std::io;
 use std::process::ExitCode;
@@ -48,6 +51,9 @@
     /// Where builds may be used, why not, from when, and when they can come out
     #[command(subcommand)]
     Releases(releases::Releases),
+    /// What happened at each desk node, from an agent's store or dump
+    #[command(subcommand)]
+    Timeline(timeline::Timeline),
 }
 
 /// Why there is no answer: a file cannot be read, written or used.
@@ -56,6 +62,11 @@
 /// Whether the answer is yes.
 pub type Answer = Result<bool, Unusable>;
 
+/// A table without blanks at its lines' ends.
+pub fn trimmed(table: &comfy_table::Table) -> String {
+    table.to_string().lines().map(str::trim_end).collect::<Vec<_>>().join("\n")
+}
+
 fn main() -> ExitCode {
     let asking = Asking::parse();
     let level = if asking.verbose { tracing::Level::DEBUG } else { tracing::Level::WARN };
@@ -67,6 +78,7 @@
     let answer = match asking.what {
         What::Check(check) => check.run(asking.json),
         What::Releases(releases) => releases.run(asking.json),
+        What::Timeline(timeline) => timeline.run(asking.json),
     };
     match answer {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/ctl/src/releases.rs
+++ b/crates/ctl/src/releases.rs
@@ -14,7 +14,7 @@
 use lilacgate_releases::record::State;
 use serde_json::{Value, json};
 
-use crate::{Answer, Unusable, chart, time};
+use crate::{Answer, Unusable, chart, time, trimmed};
 
 #[derive(Subcommand)]
 pub enum Releases {
@@ -230,11 +230,6 @@
     }
 }
 
-/// A table without blanks at its lines' ends.
-fn trimmed(table: &Table) -> String {
-    table.to_string().lines().map(str::trim_end).collect::<Vec<_>>().join("\n")
-}
-
 fn service_build(rules: &Rules, text: &str) -> Result<(ServiceId, Build), Unusable> {
     let wrong = || Unusable(format!("{text:?} is no SERVICE:BUILD of the file"));
     let (name, build) = text.split_once(':').ok_or_else(wrong)?;
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -84,6 +84,16 @@
     }
 }
 
+/// What the operators' command line beside the agent prints.
+fn lgctl(program: &Path, line: &[&str]) -> Result<String, String> {
+    let call = std::process::Command::new(program.with_file_name("lgctl")).args(line).output();
+    let call = call.map_err(|fault| format!("no lgctl beside the agent: {fault}"))?;
+    match call.status.success() {
+        true => Ok(String::from_utf8_lossy(&call.stdout).into_owned()),
+        false => Err(String::from_utf8_lossy(&call.stderr).into_owned()),
+    }
+}
+
 fn got(events: &[Event], build: u16, zone: Option<usize>) -> usize {
     let at = |event: &&Event| matches!(event.seen, Seen::Got { build: b, zone: z, .. } if b == build && zone.is_none_or(|zone| z == zone));
     events.iter().filter(at).count()
@@ -109,7 +119,8 @@
     let rules = r#"<ladder service="s" from="2"><ring name="first" stage="0"><pairs zones="a"/></ring>
 <ring name="all" stage="1" after="2s"><pairs/></ring></ladder>
 <needs service="s" from="4" of="ledger" at-least="5"/>"#;
-    let text = order(&town, rules, "");
+    let lines = format!("<timeline dump=\"{}\"/></operator>", town.dump().display());
+    let text = order(&town, rules, "").replace("</operator>", &lines);
     town.order(&text);
     if !town.up(true) {
         println!("the agent does not come up");
@@ -160,6 +171,9 @@
     } else {
         "build 4 did NOT stay"
     });
+    let told = show.town.tells_its_lines();
+    let story =
+        lgctl(program, &["timeline", "story", &show.town.dump().display().to_string(), "--build", "3"]);
     let log = show.town.close();
     let events = show.town.record.events();
     let verdict = check(&events, &Terms::default());
@@ -193,7 +207,15 @@
     for broken in verdict.broken.iter().take(10) {
         println!("  broken: {broken}");
     }
-    let fine = went_through && voted_back && stayed && verdict.is_clean();
+    println!("\nThe story of build 3, from the agent's own time lines (lgctl timeline story):");
+    match &story {
+        Ok(text) => text.lines().for_each(|line| println!("  {line}")),
+        Err(why) => println!("  {why}"),
+    }
+    if let Some(file) = std::env::var_os("LILACGATE_DEMO_LINES") {
+        std::fs::copy(show.town.dump(), file).ok();
+    }
+    let fine = told && story.is_ok() && went_through && voted_back && stayed && verdict.is_clean();
     println!(
         "\n{}",
         if fine { "All went as it should; no rule broke." } else { "Something went wrong: see above." }
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::agent::{Agent, free_at, free_datagrams_at, own_host};
+use crate::agent::{Agent, free_at, free_datagrams_at, logged, own_host};
 use crate::post::{self, LISTENS, PING, QUIET, WATCH, chunk, command, head, line, resp, rollout};
 use crate::record::{Final, Kind, Record, Seen};
 use crate::start::{Start, entry};
@@ -448,9 +448,16 @@
         self.folder.path().join(name)
     }
 
-    /// What the agent's state goes to, if the operator's file asks for it.
-    pub fn state_file(&self) -> PathBuf {
-        self.file("state.json")
+    /// Where the agent's time lines go, if the operator's file says so.
+    pub fn dump(&self) -> PathBuf {
+        self.file("lines.seg")
+    }
+
+    /// The agent is asked for its lines; whether it has written them.
+    pub fn tells_its_lines(&self) -> bool {
+        let Some(agent) = &self.agent else { return false };
+        agent.signal("USR1");
+        logged(&agent.log, "timeline: written")
     }
 
     /// Writes the operator's file; a running agent is told to read it.
