--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # What a developer does here. CI runs .ci/run, which is `lint` and `test` on a clean checkout.
 START ?= deploy/start.example.json
 
-.PHONY: build test lint run demo measure-releases
+.PHONY: build test lint run demo measure-releases measure-timeline
 
 build:
 	cargo build --release
@@ -26,3 +26,7 @@
 measure-releases:
 	cargo build --release -p lilacgate-agent -p lilacgate-standin
 	target/release/lilacgate-standin measure releases
+
+measure-timeline:
+	cargo build --release -p lilacgate-agent -p lilacgate-standin
+	target/release/lilacgate-standin measure timeline
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -16,7 +16,7 @@
 
 use crate::keeper::{Ears, Keeper};
 use crate::log::{Count, count, say};
-use crate::recorder::Recorder;
+use crate::recorder::{Deed, Recorder};
 
 /// Something that the module is to hear, or the gate beside it.
 type Call = Box<dyn FnOnce(&mut Ears)>;
@@ -261,6 +261,11 @@
             self.wakes.retain(|(at, _)| *at > now);
             let (mut keeper, recorder) = (std::mem::take(&mut self.keeper), self.recorder.clone());
             recorder.advance(now);
+            // The record's own time is none of the module's business.
+            if first.is_none() && due.is_empty() && keeper.next().is_none_or(|next| next > now) {
+                self.keeper = keeper;
+                continue;
+            }
             brain.round(
                 now,
                 |module| {
@@ -295,18 +300,18 @@
         let until =
             if give_up_after.is_zero() { owed.until } else { owed.until.min(self.now + give_up_after) };
         let wording = owed.wording.clone();
-        self.hands.recorder.book(|book| book.submit(self.now, id, leg, to));
+        self.hands.recorder.put(self.now, Deed::Submit(id, leg, to));
         self.hands.appliances.clone().submit((id, leg), to, wording, self.now, until);
     }
 
     fn decline(&mut self, id: TxnId, come_back_in: Duration) {
-        self.hands.recorder.book(|book| book.closed(id));
+        self.hands.recorder.put(self.now, Deed::Closed(id));
         self.hands.hub.answer(id, Answer::Declined(come_back_in));
         self.hands.hub.owed.borrow_mut().remove(&id);
     }
 
     fn void(&mut self, id: TxnId) {
-        self.hands.recorder.book(|book| book.closed(id));
+        self.hands.recorder.put(self.now, Deed::Closed(id));
         self.hands.hub.answer(id, Answer::Voided);
         self.hands.hub.owed.borrow_mut().remove(&id);
     }
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -13,7 +13,7 @@
 use lilacgate_releases::model::ServiceId;
 
 use crate::log::{Count, count, say};
-use crate::recorder::Recorder;
+use crate::recorder::{Deed, Recorder};
 
 /// The gate and what it goes by, beside the module. Without an operator's file there is none, and nothing is narrowed.
 #[derive(Default)]
@@ -146,12 +146,12 @@
     }
 
     fn txn(&mut self, id: TxnId, txn: Txn) {
-        self.recorder.book(|book| book.txn(id, txn.product));
+        self.recorder.put(self.now, Deed::Txn(id, txn.product));
         self.module.txn(id, txn);
     }
 
     fn ended(&mut self, id: TxnId, leg: Leg, at: ApplianceId, ending: Ending, took: Duration, closed: bool) {
-        self.recorder.book(|book| book.ended(self.now, (id, leg), at, ending, took, closed));
+        self.recorder.put(self.now, Deed::Ended((id, leg), at, ending, took, closed));
         self.module.ended(id, leg, at, ending, took, closed);
     }
 
@@ -160,7 +160,7 @@
     }
 
     fn client_left(&mut self, id: TxnId) {
-        self.recorder.book(|book| book.closed(id));
+        self.recorder.put(self.now, Deed::Closed(id));
         self.module.client_left(id);
     }
 
--- a/crates/agent/src/recorder.rs
+++ b/crates/agent/src/recorder.rs
@@ -1,7 +1,7 @@
 //! Owns the agent's time lines: what the module hears and decides goes into a book beside it, and from there, off the
 //! path of the txns, to the store that the operator's file names. It must never change a decision, wait for a disk, nor
 //! cost a txn: what the disk is too slow for is left out and counted.
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -23,6 +23,18 @@
 /// They are handed over this often.
 const BATCH: Duration = Duration::from_secs(1);
 
+/// What happens with each txn: put aside as it is, and told to the book many at a time, which costs a third of it.
+#[derive(Clone, Copy)]
+pub enum Deed {
+    Txn(TxnId, Product),
+    Submit(TxnId, Leg, ApplianceId),
+    Ended((TxnId, Leg), ApplianceId, Ending, Duration, bool),
+    Closed(TxnId),
+}
+
+/// Deeds that are put aside at most.
+const ASIDE: usize = 4096;
+
 /// What does not change while the agent runs.
 struct Told {
     agent: String,
@@ -43,6 +55,8 @@
 pub struct Recorder {
     told: Told,
     open: RefCell<Option<Open>>,
+    aside: RefCell<Vec<(Duration, Deed)>>,
+    on: Cell<bool>,
     /// The names of nodes: they outlast the book.
     names: RefCell<Vec<(ApplianceId, String)>>,
 }
@@ -52,7 +66,13 @@
     #[cfg(test)]
     pub fn none() -> Recorder {
         let told = Told { agent: String::new(), products: Vec::new(), ramp: Duration::ZERO };
-        Recorder { told, open: RefCell::default(), names: RefCell::default() }
+        Recorder {
+            told,
+            open: RefCell::default(),
+            aside: RefCell::default(),
+            on: Cell::new(false),
+            names: RefCell::default(),
+        }
     }
 
     /// # Errors
@@ -62,7 +82,13 @@
         let product = |i| told.text(&format!("profiles.{i}.name")).map(str::to_owned);
         let products = (0..count).map(product).collect::<Result<_, _>>()?;
         let told = Told { agent: agent.into(), products, ramp: told.span("rules.ramp-time")? };
-        let recorder = Recorder { told, open: RefCell::default(), names: RefCell::default() };
+        let recorder = Recorder {
+            told,
+            open: RefCell::default(),
+            aside: RefCell::default(),
+            on: Cell::new(false),
+            names: RefCell::default(),
+        };
         recorder.order(now, set);
         Ok(recorder)
     }
@@ -73,6 +99,8 @@
         if open.as_ref().map(|open| &open.set) == set.as_ref() {
             return;
         }
+        self.on.set(set.is_some());
+        self.aside.borrow_mut().clear();
         *open = set.map(|set| {
             let aims = Aims {
                 false_per_hour: set.false_per_hour,
@@ -117,13 +145,37 @@
         }
     }
 
-    /// Passes something to the book, if there is one.
+    /// Puts a deed aside, if there is a book.
+    pub fn put(&self, now: Duration, deed: Deed) {
+        if self.on.get() {
+            self.aside.borrow_mut().push((now, deed));
+            if self.aside.borrow().len() >= ASIDE {
+                self.book(|_| {});
+            }
+        }
+    }
+
+    /// Tells the book something, if there is one, after all that was put aside.
     pub fn book(&self, tell: impl FnOnce(&mut Book)) {
         if let Some(open) = self.open.borrow_mut().as_mut() {
+            self.catch_up(&mut open.book);
             tell(&mut open.book);
         }
     }
 
+    fn catch_up(&self, book: &mut Book) {
+        for (now, deed) in self.aside.borrow_mut().drain(..) {
+            match deed {
+                Deed::Txn(id, product) => book.txn(id, product),
+                Deed::Submit(id, leg, to) => book.submit(now, id, leg, to),
+                Deed::Ended(which, at, ending, took, closed) => {
+                    book.ended(now, which, at, ending, took, closed)
+                }
+                Deed::Closed(id) => book.closed(id),
+            }
+        }
+    }
+
     /// When time alone is to be told.
     pub fn next(&self) -> Option<Duration> {
         self.open.borrow().as_ref().map(|open| open.book.next())
@@ -133,6 +185,9 @@
     pub fn advance(&self, now: Duration) {
         let mut open = self.open.borrow_mut();
         let Some(open) = open.as_mut() else { return };
+        if now >= open.book.next() {
+            self.catch_up(&mut open.book);
+        }
         open.book.advance(now);
         for (departure, begins) in open.book.said() {
             if !begins {
--- a/crates/ctl/src/lines.rs
+++ b/crates/ctl/src/lines.rs
@@ -118,7 +118,8 @@
         let of_entries = self.entries.iter().filter_map(|entry| entry.node);
         let all = of_entries.chain(self.steps.iter().map(|step| step.node));
         let mut found: Vec<u32> = all.collect::<std::collections::BTreeSet<_>>().into_iter().collect();
-        found.sort_by_key(|node| self.name(*node));
+        // Short names first: d2 stands before d10.
+        found.sort_by_key(|node| (self.name(*node).len(), self.name(*node)));
         found
     }
 
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -81,6 +81,10 @@
         std::env::var_os("LILACGATE_PROGRAM").map(PathBuf::from).or_else(beside).unwrap_or_default()
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
--- a/crates/standin/src/days.rs
+++ b/crates/standin/src/days.rs
@@ -95,7 +95,7 @@
     let mut day = Day { town, chance, with_operator };
     for (build, zone) in [(1, 0), (1, 1), (2, 0), (2, 1)] {
         let takes = Duration::from_millis(2);
-        day.town.node(Manners { build, zone, fails: 0.0, takes });
+        day.town.node(Manners::good(build, zone, takes));
     }
     day.play(kind)?;
     day.wait(400, 500);
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -45,7 +45,7 @@
     }
 
     fn manners(place: usize, build: u16, fails: f64) -> Manners {
-        Manners { build, zone: place % 2, fails, takes: Duration::from_millis(3) }
+        Manners { fails, ..Manners::good(build, place % 2, Duration::from_millis(3)) }
     }
 
     /// Offers a build and follows what becomes of it, until it is released, taken off, or `until` says so.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod days;
 pub mod demo;
 pub mod gauge;
+pub mod kills;
+pub mod lines;
 pub mod notation;
 pub mod post;
 pub mod record;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use lilacgate_standin::agent::Agent;
-use lilacgate_standin::{demo, gauge};
+use lilacgate_standin::{demo, gauge, kills, lines};
 
 /// Plays an agent against stand-ins on loopback. Exit code 1: something was not as it should be.
 #[derive(Parser)]
@@ -23,13 +23,20 @@
     Demo,
     /// Figures of a subsystem, the line `measure NAME: ..` last
     Measure {
-        #[arg(value_parser = ["releases"])]
+        #[arg(value_parser = ["releases", "timeline"])]
         name: String,
     },
+    /// Writes records into a store until it is killed; prints the number of each that is kept
+    #[command(hide = true)]
+    WriteStore { folder: PathBuf, first: u32 },
 }
 
 fn main() -> ExitCode {
     let asking = Asking::parse();
+    if let What::WriteStore { folder, first } = asking.what {
+        kills::write(&folder, first);
+        return ExitCode::FAILURE;
+    }
     let program = asking.program.unwrap_or_else(Agent::program);
     if !program.is_file() {
         eprintln!(
@@ -40,7 +47,9 @@
     }
     let fine = match asking.what {
         What::Demo => demo::play(&program),
+        What::Measure { name } if name == "timeline" => lines::measure(&program),
         What::Measure { .. } => gauge::releases(&program),
+        What::WriteStore { .. } => false,
     };
     if fine { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -74,6 +74,19 @@
     pub fails: f64,
     /// The mean time that a txn takes.
     pub takes: Duration,
+    /// So many times as long, and this share of failures besides, for one product: `read`, `post` or `book`.
+    pub odd: Option<(&'static str, f64, f64)>,
+    /// It takes what comes and says nothing.
+    pub silent: bool,
+    /// It ends each connection as soon as a txn comes.
+    pub refuses: bool,
+}
+
+impl Manners {
+    /// As a node should be.
+    pub fn good(build: u16, zone: usize, takes: Duration) -> Manners {
+        Manners { build, zone, fails: 0.0, takes, odd: None, silent: false, refuses: false }
+    }
 }
 
 /// A desk node: serves whatever comes.
@@ -95,13 +108,22 @@
                 let id =
                     said.split(' ').nth(2).and_then(|id| id.strip_prefix('t')).and_then(|id| id.parse().ok());
                 let Some(id) = id else { return };
-                let Manners { build, zone, fails, takes } = *locked(&kept);
+                let Manners { build, zone, fails, takes, odd, silent, refuses } = *locked(&kept);
                 record.put(Seen::Got { id, node: number, build, zone });
+                if refuses {
+                    conn.shutdown(Shutdown::Both).ok();
+                    return;
+                }
+                let odd = odd.filter(|(product, ..)| said.contains(&format!("c={product},")));
+                let (times, fails) = odd.map_or((1.0, fails), |(_, times, more)| (times, fails + more));
                 let (fine, factor) = {
                     let mut chance = locked(&chance);
                     (chance.random::<f64>() >= fails, chance.random_range(0.5..1.5))
                 };
-                thread::sleep(takes.mul_f64(factor));
+                thread::sleep(takes.mul_f64(factor * times));
+                if silent || locked(&kept).silent {
+                    continue;
+                }
                 record.put(Seen::Done { id, node: number, fine });
                 let answer: &[u8] =
                     if fine { b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n" } else { b"-ERR failed\r\n" };
@@ -438,6 +460,13 @@
         change(&mut locked(&self.nodes[number].manners));
     }
 
+    /// A node's process goes and another of the same build comes; discovery tells so.
+    pub fn start_anew(&mut self, number: usize) {
+        self.nodes[number].listening.cut();
+        self.nodes[number].started = Some(SystemTime::now());
+        self.list(&[number]);
+    }
+
     /// A node's process goes, with all that it had, and another one comes up at its address.
     pub fn restart_node(&mut self, number: usize, change: impl FnOnce(&mut Manners)) {
         self.nodes[number].listening.cut();
@@ -519,6 +548,16 @@
         false
     }
 
+    /// The agent's processor time so far, where the system tells it.
+    pub fn cpu(&self) -> Option<Duration> {
+        let id = self.agent.as_ref()?.id();
+        let text = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let fields: Vec<&str> = text.rsplit_once(") ")?.1.split(' ').collect();
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        // A hundred ticks a second, wherever Linux runs on this kind of processor.
+        Some(Duration::from_millis(ticks * 10))
+    }
+
     /// The agent is killed.
     pub fn kill(&mut self) {
         self.agent = None;
--- a/crates/standin/src/virtually.rs
+++ b/crates/standin/src/virtually.rs
@@ -87,7 +87,8 @@
     List { node: u32, build: u16, started: Option<Duration> },
 }
 
-fn listed(node: u32, build: u16, started: Option<Duration>) -> Line {
+/// A line of the roster.
+pub fn listed(node: u32, build: u16, started: Option<Duration>) -> Line {
     Line {
         appliance: ApplianceId(node),
         mode: Mode::Ready,
--- a/crates/timeline/src/detect.rs
+++ b/crates/timeline/src/detect.rs
@@ -11,6 +11,25 @@
 /// The shares that are bet on, between `p0` and 1: small rises, and large ones.
 const BETS: [f64; 3] = [0.15, 0.45, 0.9];
 
+/// What a look multiplies the bets by, for a given `p0`: worked out once and used for many looks.
+#[derive(Clone, Copy, Debug)]
+pub struct Bets {
+    /// For a no, and for a yes.
+    factors: [[f64; BETS.len()]; 2],
+    /// The logarithms of the middle ones.
+    logs: [f64; 2],
+}
+
+impl Bets {
+    /// `p0` is what a yes is as likely as at most, whatever came before the first of these looks.
+    pub fn new(p0: f64) -> Self {
+        let p0 = p0.clamp(1e-4, 0.95);
+        let p1 = BETS.map(|share| p0 + share * (1.0 - p0));
+        let factors = [p1.map(|p1| (1.0 - p1) / (1.0 - p0)), p1.map(|p1| p1 / p0)];
+        Bets { factors, logs: [factors[0][1].ln(), factors[1][1].ln()] }
+    }
+}
+
 /// One running test.
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
@@ -26,20 +45,15 @@
 }
 
 impl Detector {
-    /// Takes a look. `p0` is what a yes is as likely as at most, strictly between 0 and 1.
-    pub fn look(&mut self, now: Duration, p0: f64, yes: bool) {
-        let p0 = p0.clamp(1e-4, 0.95);
+    /// Takes a look.
+    pub fn look(&mut self, now: Duration, bets: &Bets, yes: bool) {
         let passed = self.last.map_or(0.0, |last| now.saturating_sub(last).as_secs_f64());
         self.last = Some(now);
-        let bet = |share: f64| {
-            let p1 = p0 + share * (1.0 - p0);
-            if yes { p1 / p0 } else { (1.0 - p1) / (1.0 - p0) }
-        };
-        for (m, share) in self.m.iter_mut().zip(BETS) {
+        for (m, factor) in self.m.iter_mut().zip(bets.factors[usize::from(yes)]) {
             // A bound far above any threshold keeps it finite.
-            *m = ((*m + passed) * bet(share)).min(1e30);
+            *m = ((*m + passed) * factor).min(1e30);
         }
-        self.sum += bet(BETS[1]).ln();
+        self.sum += bets.logs[usize::from(yes)];
         if self.sum <= self.lowest || self.since.0 == 0 {
             (self.lowest, self.onset, self.since) = (self.sum, now, (0, 0));
         }
--- a/crates/timeline/src/steps.rs
+++ b/crates/timeline/src/steps.rs
@@ -97,8 +97,9 @@
 }
 
 fn floor(at: Duration, long: Duration) -> Duration {
-    let whole = at.as_nanos() / long.as_nanos() * long.as_nanos();
-    Duration::from_nanos(u64::try_from(whole).unwrap_or(u64::MAX))
+    // Steps are whole seconds.
+    let long = long.as_secs().max(1);
+    Duration::from_secs(at.as_secs() / long * long)
 }
 
 impl Steps {
--- a/crates/timeline/src/watch.rs
+++ b/crates/timeline/src/watch.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::detect::Detector;
+use crate::detect::{Bets, Detector};
 use crate::entry::{Departure, Kind, Whom};
 use crate::usual::{Sum, Usual};
 
@@ -54,6 +54,17 @@
     usual: Usual,
     /// Since when its evidence suffices.
     sure: Option<Duration>,
+    /// What its looks are weighed by until the next tick; not at all while too little is known.
+    bets: Option<Bets>,
+}
+
+impl Signal {
+    fn look(&mut self, now: Duration, yes: bool) {
+        self.usual.look(now, yes);
+        if let Some(bets) = &self.bets {
+            self.detector.look(now, bets, yes);
+        }
+    }
 }
 
 /// The signals of a node, or of the fleet: by kind, then as a whole and by product.
@@ -104,7 +115,8 @@
 /// How far above the usual a bad sign must lie.
 fn floor(kind: Kind) -> f64 {
     match kind {
-        Kind::Errors | Kind::Links => 0.03,
+        Kind::Errors => 0.03,
+        Kind::Links => 0.001,
         Kind::Latency => 0.12,
         Kind::Silence => 0.003,
         Kind::Load | Kind::Restart => 0.1,
@@ -271,26 +283,26 @@
         }
         let young = watched.started.is_some_and(|at| sent < at + self.aims.ramp * 9 / 8);
         let blurred = sent < self.woke;
-        let places = [0, usize::from(product) + 1];
+        let unheard = watched.heard < sent;
         let fine = usize::from(product) < self.aims.products;
+        let place = usize::from(product) + 1;
         let mut late = false;
+        let mut looks = [(Kind::Links, 0, how == Ended::Unlinked); 5];
+        let mut many = 1;
+        let mut put = |kind, place, yes| {
+            looks[many] = (kind, place, yes);
+            many += 1;
+        };
         match how {
             Ended::Served | Ended::Failed => {
-                for place in places.into_iter().filter(|place| *place == 0 || fine) {
-                    self.look(now, node, Kind::Errors, place, how == Ended::Failed);
-                }
-            }
-            Ended::Unanswered if !blurred => {
-                let unheard = self.nodes.get(&node).is_some_and(|watched| watched.heard < sent);
-                if unheard {
-                    self.look(now, node, Kind::Silence, 0, true);
+                put(Kind::Errors, 0, how == Ended::Failed);
+                if fine {
+                    put(Kind::Errors, place, how == Ended::Failed);
                 }
             }
+            Ended::Unanswered if !blurred && unheard => put(Kind::Silence, 0, true),
             _ => {}
         }
-        if !matches!(how, Ended::Unanswered) {
-            self.look(now, node, Kind::Links, 0, how == Ended::Unlinked);
-        }
         if how == Ended::Served && fine && !blurred {
             let takes = &mut self.takes[usize::from(product)];
             let secs = took.as_secs_f64();
@@ -298,16 +310,16 @@
             let known = takes.looks() >= DRAWN / 2.0;
             takes.put(now, Sum { yes: secs, all: 1.0 });
             let ratio = secs / usual.max(1e-6);
-            let watched = self.nodes.get_mut(&node).map(|watched| &mut watched.pace);
-            let pace = watched.as_ref().map_or(1.0, |pace| pace.share(1.0, DRAWN / 2.0));
-            watched.into_iter().for_each(|pace| pace.put(now, Sum { yes: ratio, all: 1.0 }));
-            late = known && ratio > LATE * pace;
+            late = known && ratio > LATE * watched.pace.share(1.0, DRAWN / 2.0);
+            watched.pace.put(now, Sum { yes: ratio, all: 1.0 });
             if known && !young {
-                for place in places {
-                    self.look(now, node, Kind::Latency, place, late);
-                }
+                put(Kind::Latency, 0, late);
+                put(Kind::Latency, place, late);
             }
         }
+        // Who gave up says nothing of the link.
+        let from = usize::from(how == Ended::Unanswered);
+        self.look(now, node, &looks[from..many]);
         late
     }
 
@@ -338,20 +350,34 @@
         Some(above(share + 2.0 * spread).max(above(now_there)))
     }
 
-    fn look(&mut self, now: Duration, node: u32, kind: Kind, place: usize, yes: bool) {
-        let premises = [self.premise(now, Some(node), kind, place), self.premise(now, None, kind, place)];
-        if let Some(watched) = self.nodes.get_mut(&node) {
-            let products = self.aims.products;
-            let build = self.builds.entry(watched.build).or_insert_with(|| Signals::new(products));
+    /// Takes looks at a node: kinds, places, and whether each is a bad sign.
+    fn look(&mut self, now: Duration, node: u32, looks: &[(Kind, usize, bool)]) {
+        let Some(watched) = self.nodes.get_mut(&node) else { return };
+        watched.looked = now;
+        let products = self.aims.products;
+        let build = self.builds.entry(watched.build).or_insert_with(|| Signals::new(products));
+        for &(kind, place, yes) in looks {
             build.of_mut(kind)[place].usual.look(now, yes);
-            watched.looked = now;
-            let signal = &mut watched.signals.of_mut(kind)[place];
-            signal.usual.look(now, yes);
-            premises[0].into_iter().for_each(|p0| signal.detector.look(now, p0, yes));
+            watched.signals.of_mut(kind)[place].look(now, yes);
+            self.fleet.of_mut(kind)[place].look(now, yes);
+        }
+    }
+
+    /// Works out what looks are weighed by until the next tick, from what came before.
+    fn weigh(&mut self, now: Duration) {
+        let bets = |p0: Option<f64>| p0.map(Bets::new);
+        for kind in KINDS {
+            for place in 0..self.fleet.of(kind).len() {
+                self.fleet.of_mut(kind)[place].bets = bets(self.premise(now, None, kind, place));
+                let nodes: Vec<u32> = self.nodes.keys().copied().collect();
+                for node in nodes {
+                    let bets = bets(self.premise(now, Some(node), kind, place));
+                    if let Some(watched) = self.nodes.get_mut(&node) {
+                        watched.signals.of_mut(kind)[place].bets = bets;
+                    }
+                }
+            }
         }
-        let signal = &mut self.fleet.of_mut(kind)[place];
-        signal.usual.look(now, yes);
-        premises[1].into_iter().for_each(|p0| signal.detector.look(now, p0, yes));
     }
 
     /// To be called every [`TICK`]. Returns how long the agent stood still before, if it did.
@@ -373,6 +399,7 @@
         }
         self.overdue(now, stood.is_some());
         self.learn(now);
+        self.weigh(now);
         self.decide(now);
         self.calm(now);
         stood
@@ -401,7 +428,7 @@
             looks.push((node, Kind::Silence, owes));
         }
         for (node, kind, yes) in looks.into_iter().filter(|_| !stood) {
-            self.look(now, node, kind, 0, yes);
+            self.look(now, node, &[(kind, 0, yes)]);
         }
     }
 
@@ -498,6 +525,15 @@
         let active: Vec<u32> = self.active(now).collect();
         let build_of = |node: &u32| self.nodes.get(node).map(|watched| watched.build);
         let Some(build) = build_of(&node) else { return };
+        // One that goes on already takes it in.
+        let takes_in =
+            |open: &&Departure| open.kind == kind && [Whom::Fleet, Whom::Build(build)].contains(&open.whom);
+        if let Some(number) = self.open.values().find(takes_in).map(|open| open.number) {
+            if let Some(watched) = self.nodes.get_mut(&node) {
+                watched.open.insert(kind, number);
+            }
+            return;
+        }
         let mates: Vec<u32> = active.iter().copied().filter(|node| build_of(node) == Some(build)).collect();
         let many = |of: &[u32]| of.iter().filter(|node| suspects.contains(node)).count();
         let most = |of: &[u32]| many(of) as f64 >= MOST * of.len() as f64;
