--- a/crates/standin/src/lines.rs
+++ b/crates/standin/src/lines.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lilacgate::port::{ApplianceId, Ending, Leg, Product, TxnId};
-use lilacgate_timeline::entry::{Kind, Whom};
+use lilacgate_store::reader::read;
+use lilacgate_timeline::entry::{Entry, Kind, Record, What, Whom};
 
 use crate::days::order;
 use crate::kills;
@@ -127,6 +128,29 @@
     (found, said.into_iter().map(|(_, text)| text).collect())
 }
 
+/// The agent is stopped for two seconds, and goes on. What departures it names, and whether its own line says so.
+///
+/// # Errors
+/// Where the town itself fails.
+pub fn stopped(program: &Path) -> Result<(Vec<String>, bool), String> {
+    let folder = tempfile::tempdir().map_err(|fault| fault.to_string())?;
+    let timeline = format!("<timeline store=\"{}\"/>", folder.path().display());
+    let mut town = town(program, 99, &timeline).ok_or("the agent does not come up")?;
+    town.pass(SETTLED);
+    let signal = |town: &Town, name| town.agent.as_ref().map(|agent| agent.signal(name));
+    signal(&town, "STOP");
+    town.pass(Duration::from_secs(2));
+    signal(&town, "CONT");
+    town.pass(Duration::from_secs(3));
+    let log = town.close();
+    // Killed as it was: what it had handed over is in the store.
+    let kept = read(folder.path()).map_err(|fault| fault.to_string())?;
+    let still =
+        |record: &Record| matches!(record, Record::Entry(Entry { what: What::StoodStill { .. }, .. }));
+    let said = log.lines().filter(|line| line.contains("timeline: departure")).map(str::to_owned);
+    Ok((said.collect(), kept.records.iter().any(still)))
+}
+
 /// A rule of our own that is simpler: by node and second, what it says of failures and of latency.
 trait Rule: Default {
     /// Looks at a second of a node: the share of failures, the mean latency as a multiple of its product's, txns.
--- a/crates/timeline/tests/departures.rs
+++ b/crates/timeline/tests/departures.rs
@@ -107,3 +107,16 @@
     let after = ended.as_secs_f64() - (DAWN + AT + ms(20_000)).as_secs_f64();
     assert!((0.0..12.0).contains(&after) && over.number == begun.number, "{after} {over:?}");
 }
+
+/// A build that slows old and new nodes alike: one event of the fleet, its stage named beside it.
+#[test]
+fn a_build_that_slows_all_is_the_fleets() {
+    let mut day = day(Fault::AllSlow { times: 3.5 }, 15_000);
+    let start = |node| Event { at: AT - ms(2000), long: ms(1000), fault: Fault::Replace { node, build: 2 } };
+    day.events.extend([1, 4].map(start));
+    let said = play(&day, &mut book(0.5), &mut |_| {});
+    let begun: Vec<_> =
+        said.iter().filter(|(_, _, begins)| *begins).map(|(_, departure, _)| departure).collect();
+    let [only] = begun[..] else { panic!("{begun:?}") };
+    assert_eq!((only.whom, only.kind, only.beside), (Whom::Fleet, Kind::Latency, Some((2, 0))));
+}
