--- a/crates/timeline/src/watch.rs
+++ b/crates/timeline/src/watch.rs
@@ -118,7 +118,7 @@
         Kind::Errors => 0.03,
         Kind::Links => 0.001,
         Kind::Latency => 0.12,
-        Kind::Silence => 0.003,
+        Kind::Silence => 0.002,
         Kind::Load | Kind::Restart => 0.1,
     }
 }
@@ -287,7 +287,7 @@
         let fine = usize::from(product) < self.aims.products;
         let place = usize::from(product) + 1;
         let mut late = false;
-        let mut looks = [(Kind::Links, 0, how == Ended::Unlinked); 5];
+        let mut looks = [(Kind::Links, 0, how == Ended::Unlinked); 6];
         let mut many = 1;
         let mut put = |kind, place, yes| {
             looks[many] = (kind, place, yes);
@@ -295,6 +295,7 @@
         };
         match how {
             Ended::Served | Ended::Failed => {
+                put(Kind::Silence, 0, false);
                 put(Kind::Errors, 0, how == Ended::Failed);
                 if fine {
                     put(Kind::Errors, place, how == Ended::Failed);
@@ -424,8 +425,10 @@
             let patience = Duration::from_secs_f64((usual * pace * OVERDUE.0).min(60.0)) + OVERDUE.1;
             let since = oldest.max(self.woke);
             let owes = watched.heard < oldest && now >= since + patience;
-            // What was sent after it may have come back: then it is that one submission, not the node.
-            looks.push((node, Kind::Silence, owes));
+            // Answers are the looks at which nothing is owed; while nothing is overdue yet there is nothing to see.
+            if owes {
+                looks.push((node, Kind::Silence, true));
+            }
         }
         for (node, kind, yes) in looks.into_iter().filter(|_| !stood) {
             self.look(now, node, &[(kind, 0, yes)]);
