--- a/crates/agent/src/recorder.rs
+++ b/crates/agent/src/recorder.rs
@@ -2,7 +2,7 @@
 //! path of the txns, to the store that the operator's file names. It must never change a decision, wait for a disk, nor
 //! cost a txn: what the disk is too slow for is left out and counted.
 use std::cell::{Cell, RefCell};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use lilacgate::port::*;
@@ -244,17 +244,19 @@
         let path: Option<PathBuf> = self.open.borrow().as_ref().and_then(|open| open.set.dump.clone());
         let Some(path) = path else { return };
         let bytes = self.whole(now);
-        std::thread::spawn(move || match write(&path, &bytes) {
-            Ok(()) => say!("timeline: written to {}", path.display()),
-            Err(fault) => say!("timeline: not written to {}: {fault}", path.display()),
-        });
+        replace("timeline:", path, bytes);
     }
 }
 
-fn write(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
-    let new = path.with_extension("new");
-    std::fs::write(&new, bytes)?;
-    std::fs::rename(&new, path)
+/// Replaces a file by rename, off the loop, and says what became of it: a reader finds the old or the new one whole.
+pub fn replace(what: &'static str, path: PathBuf, bytes: Vec<u8>) {
+    std::thread::spawn(move || {
+        let new = path.with_extension("new");
+        match std::fs::write(&new, bytes).and_then(|()| std::fs::rename(&new, &path)) {
+            Ok(()) => say!("{what} written to {}", path.display()),
+            Err(fault) => say!("{what} not written to {}: {fault}", path.display()),
+        }
+    });
 }
 
 impl Open {
--- a/crates/agent/src/releases.rs
+++ b/crates/agent/src/releases.rs
@@ -17,6 +17,7 @@
 use crate::desk::{Bound, Desk, Ears, News};
 use crate::hub::Hub;
 use crate::log::say;
+use crate::recorder::replace;
 
 /// News and signs of life that another service's desk may send in a second. One a second is due, and each change.
 const NOISE: u32 = 64;
@@ -142,15 +143,9 @@
         let Some(path) = self.state.borrow().clone() else { return };
         let agent = self.agent.clone();
         self.hub.tell(move |ear| {
-            let Some(text) = ear.state(&agent) else { return };
-            std::thread::spawn(move || {
-                let new = path.with_extension("new");
-                let written = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &path));
-                match written {
-                    Ok(()) => say!("releases: state written to {}", path.display()),
-                    Err(fault) => say!("releases: state not written to {}: {fault}", path.display()),
-                }
-            });
+            if let Some(text) = ear.state(&agent) {
+                replace("releases: state", path, text.into_bytes());
+            }
         });
     }
 }
--- a/crates/timeline/src/watch.rs
+++ b/crates/timeline/src/watch.rs
@@ -367,11 +367,11 @@
     /// Works out what looks are weighed by until the next tick, from what came before.
     fn weigh(&mut self, now: Duration) {
         let bets = |p0: Option<f64>| p0.map(Bets::new);
+        let nodes: Vec<u32> = self.nodes.keys().copied().collect();
         for kind in KINDS {
             for place in 0..self.fleet.of(kind).len() {
                 self.fleet.of_mut(kind)[place].bets = bets(self.premise(now, None, kind, place));
-                let nodes: Vec<u32> = self.nodes.keys().copied().collect();
-                for node in nodes {
+                for &node in &nodes {
                     let bets = bets(self.premise(now, Some(node), kind, place));
                     if let Some(watched) = self.nodes.get_mut(&node) {
                         watched.signals.of_mut(kind)[place].bets = bets;
