Agents ask for the list by chance over half of the time allowed, not in waves

Checked and ruled out: discovery's address and connections (up in 0.2 ms each time), the agent's parsing (status 503 at exactly 2 s), the network file's own pause (off where the list is asked for), appliances' load (84 ms in the middle).

The first call is now drawn from up to half of rules.ask-within, by the number of agents, and a pause after a failure by chance, from one that doubles up to the whole. Guards against any cause that brings many agents to the list at once; harms, by up to 5 s, an agent that comes up alone amid a change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,24 +35,34 @@
     a.barred() && !panic && (now < a.record.barred_until || !a.out.is_empty())
 }
 
-/// Leaves an appliance alone for a while, twice as long each time in a row. Whether that is news.
-fn strike(record: &mut Record, now: Duration) -> bool {
-    let strikes = now >= record.barred_until;
-    if strikes {
+/// Leaves an appliance alone for a while, twice as long each time in a row, unless it is already.
+fn strike(record: &mut Record, now: Duration, at: ApplianceId, why: &'static str) -> Option<Note> {
+    (now >= record.barred_until).then(|| {
         record.bar = (record.bar * 2).clamp(RECENT, RECENT * 8);
         record.barred_until = now + record.bar;
-    }
-    strikes
+        Note::Barred { at, why, until: record.barred_until }
+    })
 }
 
 impl Roster {
-    pub(crate) fn update(&mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>) {
+    /// Agents that came up together, or were refused together, ask one after another by chance, over up to half of
+    /// the time allowed. Guards against waves that a service of fixed capacity refuses whole, again and again.
+    /// Harms, by as much, an agent that comes up alone amid a change.
+    pub(crate) fn update(
+        &mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>,
+        chance: &mut Pcg64Mcg,
+    ) {
         self.fleet.list(listing, lines);
-        let pause = std::mem::take(&mut self.ask_pause);
-        // Guards against a lost subscription, and against a storm of calls on a service that is down.
-        if let (Listing::Failed, Some(within)) = (listing, self.ask_within) {
-            self.ask_at = Some(now + pause.max(within / 20));
-            self.ask_pause = (pause * 2).clamp(within / 10, within / 4);
+        let Some(within) = self.ask_within else { return };
+        let crowd = within * self.agents.min(20) / 40;
+        match listing {
+            Listing::Saved => self.ask_at = Some(now + crowd.mul_f64(chance.random())),
+            Listing::Failed => {
+                let pause = self.ask_pause.clamp(within / 20 + crowd, within);
+                self.ask_at = Some(now + pause.mul_f64(chance.random_range(0.5..1.5)));
+                self.ask_pause = pause * 2;
+            }
+            _ => self.ask_pause = Duration::ZERO,
         }
     }
 }
@@ -450,10 +460,9 @@
 
     fn take_stock(&mut self) {
         let now = self.now;
-        let passed = std::mem::take(&mut self.stock.passed);
         (self.stock.next, self.stock.heard) = (now + self.desk.tick * 20, 0);
         let fleet = &self.roster.fleet;
-        let listed = fleet.weight() * passed.as_secs_f64();
+        let listed = fleet.weight() * std::mem::take(&mut self.stock.passed).as_secs_f64();
         self.demand.borne.add(now, USUAL, 0.0, listed);
         self.jury.own.work([0.0, self.jury.own.bore * listed, 0.0]);
         self.stock.measure(now, (RECENT, USUAL), fleet, &self.demand);
@@ -465,9 +474,8 @@
         let patience = 6.0 * self.stock.middle_pace * self.stock.usual_work;
         for (&at, a) in &mut self.roster.fleet.0 {
             let silent = a.unheard_since().map(|o| now.saturating_sub(o.max(self.stock.woke)).as_secs_f64());
-            if silent.is_some_and(|s| s > patience) && strike(&mut a.record, now) {
-                let until = a.record.barred_until;
-                self.stock.notes.push(Note::Barred { at, why: "silent", until });
+            if silent.is_some_and(|s| s > patience) {
+                self.stock.notes.extend(strike(&mut a.record, now, at, "silent"));
             }
         }
         self.arrange();
@@ -759,10 +767,7 @@
         let worse = many > 0.0 && fails > sum / many + if ending == Ending::Spoilt { 0.6 } else { 0.3 };
         if worse || matches!(ending, Ending::Unconnected | Ending::Broken) {
             let why = if worse { "fails" } else { "unlinked" };
-            if strike(&mut a.record, now) {
-                let until = a.record.barred_until;
-                self.stock.notes.push(Note::Barred { at, why, until });
-            }
+            self.stock.notes.extend(strike(&mut a.record, now, at, why));
         }
         self.stock.heard += 1;
         if !blurred {
