One failing machine of an earlier stage no longer holds a good build for six waits

Checked and ruled out: the builds (a probe of each submission's end by appliance: 35 fails at 7 of 60 machines with it and 34 at 2 of 120, all others not once, so machines are bad and not the build; 36 is slow and its back was right), the list (all shown within 0.5 s), the platform's clock.

At fault: Jury::ages in src/brain.rs. Any machine of an earlier stage with three failures counted, as barred ones are left out; but with 100 agents each sees so little of a bad machine that it is mostly not barred. The third that looks worst is now left out, as doubtful() leaves a quarter. A build that turns bad with age shows in more. Harms, by a delay less, where a third or less of the old machines is all that has turned.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -207,8 +207,7 @@
     /// look worst. Guards against bad machines and noisy neighbours that happen to carry the build: a build
     /// is bad wherever it runs. It harms where only one machine will ever carry it.
     fn doubtful(&self) -> bool {
-        let mut by: Vec<_> = self.arms.by.values().copied().collect();
-        by.sort_by(|a, b| (b.1 / b.0).total_cmp(&(a.1 / a.0)));
+        let by = worst_first(self.arms.by.values().copied());
         let rest = by.iter().skip(by.len().div_ceil(4));
         let (n, sum) = rest.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
         let elsewhere = n * 2.0 >= ENOUGH && sum / n - self.arms.means().0 > self.theta0;
@@ -217,16 +216,19 @@
 }
 
 impl Jury {
-    /// Whether machines of an earlier stage fail, as younger ones may yet do. Guards against builds that turn
-    /// bad some time after their start. It harms, by a delay, where just these have a trouble of their own.
+    /// Whether machines of an earlier stage fail, as younger ones may yet do, and not just a third of them. Guards
+    /// against builds that turn bad some time after their start. It harms, by a delay, where more of just these
+    /// have a trouble of their own.
     fn ages(&self, fleet: &Fleet, build: Build) -> bool {
         let test = self.own.tests.get(self.products).filter(|t| t.estimate() > THETA0);
         let Some(Test { arms, .. }) = test else { return false };
         let trial = fleet.running(build);
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max().unwrap_or_default();
         let old = |a: &Appliance| a.line.started.is_some_and(|s| s + self.dwell < newest) && !a.barred();
-        let by = trial.iter().filter(|x| old(x.1)).filter_map(|x| arms.by.get(&x.0));
-        by.filter(|b| b.1 / b.0 > arms.means().0 + 2.0 * THETA0).map(|b| b.1).sum::<f64>() >= ENOUGH / 6.0
+        let by = trial.iter().filter(|x| old(x.1)).filter_map(|x| arms.by.get(&x.0).copied());
+        let by = worst_first(by);
+        let rest = by.iter().skip((by.len() + 1) / 3);
+        rest.filter(|b| b.1 / b.0 > arms.means().0 + 2.0 * THETA0).map(|b| b.1).sum::<f64>() >= ENOUGH / 6.0
     }
 
     /// Those that agents report to: a few, spread by the build, so that hundreds need not hear of each other.
@@ -374,10 +376,8 @@
                 return;
             }
         } else {
-            let line = |t: &Test| format!(" {:.0}:{:+.2} p{:.3}", t.arms.y.0, t.estimate(), t.p);
-            let tests: String = self.own.tests.iter().map(line).collect();
-            let News { build: Build(build), stage: Stage(stage), .. } = news;
-            out.log(&format!("vote {verdict:?} on build {build} stage {stage} lost {lost:.2}{tests}"));
+            let tests = self.own.tests.iter().map(|t| (t.arms.y.0, t.estimate(), t.p));
+            out.log(&report::ballot(ballot, lost, tests));
         }
         self.own.vote = Some(Vote { ballot, sent: now, answer: None });
         out.vote(news.build, news.stage, verdict);
--- a/src/report.rs
+++ b/src/report.rs
@@ -1,4 +1,4 @@
-//! What agents pass each other, in octets. Nothing here decides anything.
+//! What agents pass each other, in octets, and what staff reads of a vote. Nothing here decides anything.
 use crate::port::*;
 use crate::state::{Counts, Report};
 
@@ -41,3 +41,11 @@
     });
     Some((Build(short(0)), (long(2), long(6)), [10, 12, 14].map(short), entries))
 }
+
+/// The line of a new vote: what it says, the share lost, and of each test its trial outcomes, estimate and p.
+pub(crate) fn ballot(
+    (build, stage, verdict): (Build, Stage, Verdict), lost: f64, tests: impl Iterator<Item = (f64, f64, f64)>,
+) -> String {
+    let tests: String = tests.map(|(many, worse, p)| format!(" {many:.0}:{worse:+.2} p{p:.3}")).collect();
+    format!("vote {verdict:?} on build {} stage {} lost {lost:.2}{tests}", build.0, stage.0)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -400,6 +400,13 @@
     }
 }
 
+/// Appliances' outcomes and bad ones, those first of which most are bad.
+pub(crate) fn worst_first(by: impl Iterator<Item = (f64, f64)>) -> Vec<(f64, f64)> {
+    let mut by: Vec<_> = by.collect();
+    by.sort_by(|a, b| (b.1 / b.0).total_cmp(&(a.1 / a.0)));
+    by
+}
+
 /// What a jury has gathered on the build it judges.
 #[derive(Default)]
 pub(crate) struct Judged {
