An agent that asks little keeps to a part of the appliances, even over all agents

The log lines of links that ended: in herd 5,591 gone, 6,059 given up, none idle, so that neither the idle time nor the agent's bound on links is the cause.

At fault: Brain::arrange in src/brain.rs, which gives every appliance of an arm its full odds. Now an agent has eight homes an arm, and as many more for each txn out (asked x pace x work), from its own place among all agents; the rest have a thousandth of the odds. What the rule on cold appliances counts by (a.part) is left as it was. Guards against scarce connections and dear handshakes of any cause; harms evenness where few agents ask very unlike amounts.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,6 +1,7 @@
 //! All decisions of an agent. Make the parts (`parts.rs`) from what the deployment is told at its start, put
 //! them together with [`Brain::new`], then call [`Brain::round`] once a round with all that came in; what is
 //! decided goes into the writer passed along. The interface is in `port.rs`, the reasons in `docs/design.md`.
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -147,17 +148,15 @@
 const WAIT: Duration = Duration::from_millis(3500);
 /// Trial outcomes without which a test does not speak.
 const ENOUGH: f64 = 20.0;
-
+/// So many appliances of an arm serve an agent with hardly a txn out: enough to choose and to lose some.
+const HOMES: f64 = 8.0;
 /// How many agents gather the others' outcomes.
 const JUDGES: u32 = 3;
-
 /// Share of what is usually served in time, and of what is asked, that must be missing to convict a build
 /// that slows old and new alike; half holds the on. Short slowdowns pass; after the release it must last.
 const LOST: f64 = 0.35;
-
 /// Share of submissions without a connection at which connections are short.
 const SHORT: f64 = 0.05;
-
 /// Wait beyond the work, as a share of an SLA time, that counts as a queue.
 const QUEUE: f64 = 0.15;
 
@@ -176,10 +175,6 @@
         Test { theta0, tau, alpha, arms: Arms::default(), p: 1.0, interval: (f64::MIN, f64::MAX) }
     }
 
-    fn estimate(&self) -> f64 {
-        self.arms.means().1 - self.arms.means().0
-    }
-
     /// Takes outcomes, how many of them bad, and the trial appliance they come from.
     pub fn observe(&mut self, trial: Option<ApplianceId>, many: f64, bad: f64) {
         self.arms.put(trial, many, bad);
@@ -211,7 +206,7 @@
         let rest = by.iter().skip(by.len().div_ceil(4));
         let (n, sum) = rest.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
         let elsewhere = n * 2.0 >= ENOUGH && sum / n - self.arms.means().0 > self.theta0;
-        self.arms.y.0 >= ENOUGH && self.estimate() > self.theta0 && elsewhere
+        self.arms.y.0 >= ENOUGH && self.arms.worse() > self.theta0 && elsewhere
     }
 }
 
@@ -220,7 +215,7 @@
     /// against builds that turn bad some time after their start. It harms, by a delay, where more of just these
     /// have a trouble of their own.
     fn ages(&self, fleet: &Fleet, build: Build) -> bool {
-        let test = self.own.tests.get(self.products).filter(|t| t.estimate() > THETA0);
+        let test = self.own.tests.get(self.products).filter(|t| t.arms.worse() > THETA0);
         let Some(Test { arms, .. }) = test else { return false };
         let trial = fleet.running(build);
         let newest = trial.iter().filter_map(|(_, a)| a.line.started).max().unwrap_or_default();
@@ -322,7 +317,7 @@
         }
         let released = course == Course::Released;
         let (grave, long) = if released { (GRAVE, USUAL * 3 / 2) } else { (0.0, Duration::ZERO) };
-        let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.estimate() > grave;
+        let worse = |t: &Test| t.p <= self.level() && t.doubtful() && t.arms.worse() > grave;
         // Slowness may lie on an agent's own way there: it convicts only for a judge, who hears of many.
         let spoken = self.products + 1 + usize::from(self.judging(build));
         if self.own.tests.iter().take(spoken).any(worse) || now > self.own.well + long {
@@ -376,7 +371,7 @@
                 return;
             }
         } else {
-            let tests = self.own.tests.iter().map(|t| (t.arms.y.0, t.estimate(), t.p));
+            let tests = self.own.tests.iter().map(|t| (t.arms.y.0, t.arms.worse(), t.p));
             out.log(&report::ballot(ballot, lost, tests));
         }
         self.own.vote = Some(Vote { ballot, sent: now, answer: None });
@@ -438,8 +433,7 @@
                 out.free_links(id);
             }
         }
-        let mut order: Vec<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
-        order.sort();
+        let order: BTreeSet<_> = self.desk.held.iter().map(|(&id, h)| (h.arrived, id)).collect();
         let mut beat = now + self.desk.tick * 20;
         for (_, id) in order {
             beat = self.attend(id, out).map_or(beat, |next| beat.min(next));
@@ -479,8 +473,8 @@
             }
         }
         self.arrange();
-        let few = Duration::from_secs_f64(ENOUGH / 4.0 / self.stock.served.max(1.0));
-        self.stock.few = few.clamp(RECENT, USUAL);
+        self.stock.few =
+            Duration::from_secs_f64(ENOUGH / 4.0 / self.stock.served.max(1.0)).clamp(RECENT, USUAL);
         let Some(News { build, stage, .. }) = self.exposure.news else { return };
         self.jury.own.paces.extend(self.roster.fleet.paces(now, USUAL, build));
         // Lost against what was at the end of the stage before: a build that slows all does so in step with
@@ -601,10 +595,17 @@
         // machines that queue and look like a slow build: unlike loads do not compare.
         let queued = out[1] * listed[0] > 1.5 * (out[0] + 1.0) * listed[1] && listed[0] > 0.0;
         self.stock.share = if queued { 0.0 } else { listed[1] / (listed[0] + listed[1]).max(1e-9) };
+        // An agent keeps to so many of an arm, even over all agents, and to the rest only in need: the more, the
+        // more it has out. Guards against links that carry a txn or two; harms evenness where few ask much.
+        let homes = HOMES * (1.0 + self.stock.asked * self.stock.middle_pace * self.stock.usual_work);
+        let turn = f64::from(self.jury.among.me.0) / f64::from(self.jury.among.agents.max(1));
         for (arm, share) in [1.0 - self.stock.share, self.stock.share].into_iter().enumerate() {
-            for seat in &seats[arm] {
+            let many = seats[arm].len() as f64;
+            for (i, seat) in seats[arm].iter_mut().enumerate() {
                 let part = share * seat.odds / sums[arm];
                 self.roster.fleet.0.entry(seat.id).and_modify(|a| a.part = part);
+                let home = (i as f64 / many - turn).rem_euclid(1.0) * many < homes;
+                seat.odds *= if home { 1.0 } else { 1e-3 };
             }
         }
         let due = self.stock.asked * self.thaw.span.as_secs_f64() + self.desk.held.len() as f64;
@@ -712,9 +713,8 @@
             return;
         }
         let trial = self.jury.own.on_trial(o.build).then_some(at);
-        let arm = usize::from(trial.is_some());
         // Both arms have answered within the agent's last few txns: only then do they compare.
-        self.jury.own.last[arm] = Some(self.now);
+        self.jury.own.last[usize::from(trial.is_some())] = Some(self.now);
         let beside = self.jury.own.last.iter().all(|t| t.is_some_and(|t| t + self.stock.few >= self.now));
         if trial.is_none() && !beside {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -395,6 +395,11 @@
         }
     }
 
+    /// By how much the trial is worse.
+    pub(crate) fn worse(&self) -> f64 {
+        self.means().1 - self.means().0
+    }
+
     pub(crate) fn means(&self) -> (f64, f64) {
         (self.x.1 / self.x.0.max(1.0), self.y.1 / self.y.0.max(1.0))
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Laws over many agents' decisions together, in virtual time: what each does alone is harmless, the sum need not be.
 //! Owns the little that stands in for what they share. It must never know what the module keeps inside.
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use lilacgate::brain::Brain;
@@ -9,13 +9,23 @@
 use rstest::rstest;
 
 const ASK_WITHIN: Duration = Duration::from_secs(10);
+const READ: Terms = Terms {
+    repeat: Repeat::InquiryLike,
+    sla: Duration::from_millis(500),
+    expiry: Duration::from_secs(2),
+    remembered: Duration::ZERO,
+    revenue: 1.0,
+    late_share: 0.0,
+};
 
-/// Notes whether the list was asked for; the rest does not matter here.
+/// Notes whether the list was asked for, and what was sent where; the rest does not matter here.
 #[derive(Default)]
-struct Asks(bool);
+struct Asks(bool, Vec<(TxnId, ApplianceId)>);
 
 impl Decisions for Asks {
-    fn submit(&mut self, _: TxnId, _: ApplianceId, _: Duration) {}
+    fn submit(&mut self, id: TxnId, to: ApplianceId, _: Duration) {
+        self.1.push((id, to));
+    }
     fn decline(&mut self, _: TxnId, _: Duration) {}
     fn void(&mut self, _: TxnId) {}
     fn call_off(&mut self, _: TxnId, _: Leg) {}
@@ -40,8 +50,8 @@
         Roster::new(Zone(0), agents, Some(ASK_WITHIN)),
         Thaw::new(0.34, ms(4000), 2.5, ms(1000)),
         Exposure::new(ms(4000), ms(5), 3.0, 0.1, false, 1, false),
-        Jury::new(Gate::Single, vec![0.1, 0.5, 1.0], ms(900), calls, true, among, 0),
-        Desk::new(Vec::new(), 3, true, ms(2000), ms(5)),
+        Jury::new(Gate::Single, vec![0.1, 0.5, 1.0], ms(900), calls, true, among, 1),
+        Desk::new(vec![READ], 3, true, ms(2000), ms(5)),
     )
 }
 
@@ -116,3 +126,75 @@
     let (last, failed) = come_up(agents, Duration::from_millis(20), seed);
     assert!(last <= ASK_WITHIN / 7 && failed == 0, "the last had it after {last:?}");
 }
+
+/// How many appliances each agent has sent to, and how many txns each appliance got, after ten seconds in which each
+/// agent is asked so many txns a second, each answered after a tenth of one.
+fn serve(agents: u32, appliances: u32, a_second: u32, seed: u64) -> (Vec<usize>, Vec<u32>) {
+    let (mut met, mut got) = (Vec::new(), vec![0; appliances as usize]);
+    // Numbers of appliances are as good as drawn.
+    let number = |i: u32| ApplianceId(i.wrapping_mul(0x9E37_79B9));
+    for me in 0..agents {
+        let mut brain = agent(me, agents, seed);
+        let (mut links, mut out, mut next) = (BTreeSet::new(), VecDeque::new(), 0);
+        for beat in 0..1000u32 {
+            let now = Duration::from_secs(100) + Duration::from_millis(10) * beat;
+            let mut asks = Asks::default();
+            let hear = |ears: &mut dyn Hears| {
+                if beat == 0 {
+                    let line = |i| Line {
+                        appliance: number(i),
+                        mode: Mode::Ready,
+                        model: Model(0),
+                        weight: 4.0,
+                        started: None,
+                        build: Build(1),
+                        cell: Cell(0),
+                        zone: Zone(0),
+                    };
+                    ears.roster(Listing::Whole, &mut (0..appliances).map(line));
+                    ears.stage(Build(1), Stage(2), Course::Released, 1.0, ASK_WITHIN);
+                }
+                while let Some((_, id, to)) = out.pop_front_if(|(at, ..): &mut (u32, _, _)| *at + 10 <= beat) {
+                    ears.ended(id, Leg(0), to, Ending::Served, Duration::from_millis(100), true);
+                }
+                if beat * a_second / 100 > next {
+                    next += 1;
+                    let (product, hint, expiry) = (Product(0), Some(READ.sla / 5), now + READ.expiry);
+                    let (tenant, mark, repeated) = (Tenant(0), None, false);
+                    ears.txn(TxnId(next), Txn { product, tenant, mark, expiry, hint, repeated });
+                }
+            };
+            brain.round(now, hear, &mut asks);
+            for (id, to) in asks.1 {
+                out.push_back((beat, id, to));
+                links.insert(to);
+                got[(0..appliances).position(|i| number(i) == to).expect("a listed appliance")] += 1;
+            }
+        }
+        met.push(links.len());
+    }
+    (met, got)
+}
+
+/// Many agents that each ask little keep to few appliances, and yet load all of them alike.
+#[rstest]
+fn many_agents_spread_evenly_over_few_links_each(
+    #[values(20, 50, 100, 200)] agents: u32, #[values(30, 60)] appliances: u32, #[values(1, 2)] seed: u64,
+) {
+    let (met, got) = serve(agents, appliances, 8, seed);
+    let links = met.iter().sum::<usize>() as f64 / f64::from(agents);
+    let mean = f64::from(got.iter().sum::<u32>()) / f64::from(appliances);
+    assert!(links < 20.0, "{links} appliances an agent");
+    let most = f64::from(*got.iter().max().expect("some")) / mean;
+    let least = f64::from(*got.iter().min().expect("some")) / mean;
+    assert!(most < 1.6 && least > 0.5, "the most loaded has {most:.2} of the mean, the least {least:.2}");
+}
+
+/// An agent that asks much goes to all, at any number of agents, and so do a few that share a small fleet.
+#[rstest]
+#[case::few(3, 12, 80)]
+#[case::hot(100, 60, 90)]
+fn who_asks_much_uses_all(#[case] agents: u32, #[case] appliances: u32, #[case] a_second: u32) {
+    let (met, _) = serve(agents.min(6), appliances, a_second, 1);
+    assert!(met.iter().all(|links| *links as u32 > appliances * 9 / 10), "{met:?} of {appliances}");
+}
