--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -154,7 +154,8 @@
                     ears.roster(Listing::Whole, &mut (0..appliances).map(line));
                     ears.stage(Build(1), Stage(2), Course::Released, 1.0, ASK_WITHIN);
                 }
-                while let Some((_, id, to)) = out.pop_front_if(|(at, ..): &mut (u32, _, _)| *at + 10 <= beat) {
+                let due = out.partition_point(|(at, ..): &(u32, _, _)| at + 10 <= beat);
+                for (_, id, to) in out.drain(..due) {
                     ears.ended(id, Leg(0), to, Ending::Served, Duration::from_millis(100), true);
                 }
                 if beat * a_second / 100 > next {
