Silent or vanished appliances no longer count as a shortage of connections

Checked and ruled out: idle times and the agents' bounds (no link ended idle or crowded), appliances' own limits (none answered busy; what failed came from silent addresses, 295 to 762 a second).

At fault: Demand::ended in src/state.rs and its call in Brain::outcome, which took every submission without a connection for a shortage; above 5% of them all idle links go back. Now only such count as fail at an appliance that has answered since an earlier one failed there. Guards against lost zones, stale lists, dead machines; harms by a few seconds' delay where connections are short indeed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -541,11 +541,10 @@
     fn crowded(&mut self, terms: &Terms, sla_left: Duration) -> bool {
         let most = self.desk.products.iter().map(|t| t.revenue).fold(f64::MIN_POSITIVE, f64::max);
         let pressure = self.queue(sla_left);
-        let from = 0.15 + 0.1 * terms.revenue / most;
         let full = self.demand.full.share(self.now, RECENT, 1.0);
         // What came late: all that an agent sees of a queue with hardly a txn of its own in it.
         let late = self.demand.late.share(self.now, self.stock.few, 2.0);
-        let strain = f64::max((pressure - from) / 0.25, 2.0 * (late - 0.15));
+        let strain = f64::max((pressure - 0.15 - 0.1 * terms.revenue / most) / 0.25, 2.0 * (late - 0.15));
         self.chance.random::<f64>() < strain.max(full)
     }
 
@@ -643,8 +642,7 @@
         let h = self.desk.held.get(&id)?;
         // A txn that the trial build has failed is better served by an earlier one.
         let failed_there = h.legs.iter().any(|l| self.exposure.bound(l.build).is_some());
-        let share = if failed_there { 0.0 } else { self.stock.share };
-        let arm = usize::from(chance.random::<f64>() < share);
+        let arm = usize::from(chance.random::<f64>() < self.stock.share && !failed_there);
         for seats in [&self.stock.seats[arm], &self.stock.seats[1 - arm]] {
             let tried = |id: ApplianceId| h.legs.iter().any(|l| l.to == id);
             let mut pick = |spare: bool| {
@@ -748,7 +746,9 @@
         let alive = a.record.heard > o.sent;
         let sla = self.desk.products.get(usize::from(o.product.0)).map_or(took, |terms| terms.sla);
         let blurred = o.sent < self.stock.woke;
-        self.demand.ended(now, (RECENT, self.stock.few, USUAL), leg, ending, took > sla);
+        // Short of connections is what has answered between two that failed; what is gone or silent is not.
+        let short = ending == Ending::Unconnected && a.record.heard > a.record.unlinked.unwrap_or(now);
+        self.demand.ended(now, (RECENT, self.stock.few, USUAL), leg, ending, (took > sla, short));
         a.record.ended(now, RECENT, ending, o.sent);
         if served {
             if !blurred {
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
     /// Its last sign of life, and when the latest of the submissions it has answered was sent.
     pub(crate) heard: Duration,
     pub(crate) passed: Duration,
+    /// When a submission last found no connection there.
+    pub(crate) unlinked: Option<Duration>,
     /// While above 0 it is barred, and may not even be tried until the time beside it.
     pub(crate) bar: Duration,
     pub(crate) barred_until: Duration,
@@ -87,6 +89,9 @@
             self.heard = now;
             self.passed = self.passed.max(sent);
         }
+        if ending == Ending::Unconnected {
+            self.unlinked = Some(now);
+        }
         if !matches!(ending, Ending::CalledOff | Ending::Unsent) {
             self.fails.add(now, half, f64::from(u8::from(ending != Ending::Served)), 1.0);
         }
@@ -268,7 +273,7 @@
     pub(crate) borne: Ratio,
     /// Submissions served of late.
     pub(crate) lately: Fading,
-    /// Submissions that found no connection, and all that ended.
+    /// Submissions that found no connection where connections are short, and all that ended.
     pub(crate) shut: Ratio,
     /// Submissions turned away unseen, and all that ended.
     pub(crate) full: Ratio,
@@ -300,12 +305,12 @@
     /// Notes how a submission ended; the sums fade by these halves: of late, over a few txns, and usual.
     pub(crate) fn ended(
         &mut self, now: Duration, halves: (Duration, Duration, Duration), leg: Leg, ending: Ending,
-        late: bool,
+        (late, short): (bool, bool),
     ) {
         let ((recent, few, usual), one) = (halves, |yes: bool| f64::from(u8::from(yes)));
         let served = ending == Ending::Served;
         self.full.add(now, recent, one(ending == Ending::TurnedAway), 1.0);
-        self.shut.add(now, usual, one(ending == Ending::Unconnected), 1.0);
+        self.shut.add(now, usual, one(short), 1.0);
         if served || ending == Ending::TimedOut {
             self.late.add(now, few, one(!served || late), 1.0);
         }
