Lists of appliances may come indented, over many lines; a cut one is still told

The reader took a line end amid a value for a cut (json::Values::take, the `lines` rule that Answer::new in discovery.rs asked for), so that every agent would refuse such a list, ask again after 50 ms to 0.5 s and never hear of a drain. Change: a list may take as many lines as it likes. What shows a cut is an empty line amid a value (the sign of life of a watch is one), the end of the body, or that nothing more comes: what is read amid a value no longer counts as a sign of life, so that the wait of 2.5 s for a value begun is in force (Lines::take said that whatever comes is one). Result: the parser's cases, a scenario against the agent, and a list of 1,024 appliances, indented and in pieces of 1,400 bytes, at agents with 1,024 peers and 32 MB, through start file, list and module. With the old rule put back, the scenario, the HTTP cases and all nine sizes fail (seen).

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -60,7 +60,7 @@
 impl Answer {
     /// With values of at most so many bytes.
     pub fn new(most: usize) -> Self {
-        Answer { state: State::Head(0, Body::Open), line: vec![], values: json::Values::lines(most) }
+        Answer { state: State::Head(0, Body::Open), line: vec![], values: json::Values::indented(most) }
     }
 
     fn line(&mut self) -> Result<(), End> {
@@ -154,6 +154,10 @@
                 return Ok((at, value));
             }
         }
+        // A body that ends amid a value was cut.
+        if matches!(self.state, State::Over) && !self.values.is_between() {
+            return Err(End::Malformed);
+        }
         Ok((at, None))
     }
 }
@@ -348,8 +352,9 @@
     }
 }
 
-/// The same, where whatever comes is an item: a sign of life, if it ends no value.
-struct Lines(Answer);
+/// The same, where whatever comes between values is an item too: a sign of life. What comes amid one is none, so that
+/// a value that was cut is not waited for without end.
+pub struct Lines(pub Answer);
 
 impl Parse for Lines {
     type Item = Option<Json>;
@@ -359,6 +364,8 @@
     }
 
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Option<Json>>), End> {
-        self.0.take(bytes).map(|(taken, value)| (taken, Some(value)))
+        let (taken, value) = self.0.take(bytes)?;
+        let lives = value.is_some() || self.0.is_between();
+        Ok((taken, lives.then_some(value)))
     }
 }
--- a/crates/agent/src/json.rs
+++ b/crates/agent/src/json.rs
@@ -117,11 +117,20 @@
     Bare,
 }
 
+/// What shows that a value was cut.
+#[derive(Clone, Copy, PartialEq)]
+enum Cut {
+    Never,
+    /// A line that ends amid it: each stands on a line of its own.
+    AtLineEnd,
+    /// An empty line amid it, by the length of the line so far: one may come indented, over many lines.
+    AtEmptyLine(usize),
+}
+
 /// Reads one value after another; white space may stand between them.
 pub struct Values {
     most: usize,
-    /// Whether each value stands on a line of its own, so that a line that ends amid one was cut.
-    lines: bool,
+    cut: Cut,
     seen: usize,
     open: Vec<Open>,
     state: State,
@@ -139,7 +148,7 @@
         let (open, word) = Default::default();
         Values {
             most,
-            lines: false,
+            cut: Cut::Never,
             seen: 0,
             open,
             state: State::Value,
@@ -152,7 +161,25 @@
 
     /// The same, one to a line.
     pub fn lines(most: usize) -> Self {
-        Values { lines: true, ..Values::new(most) }
+        Values { cut: Cut::AtLineEnd, ..Values::new(most) }
+    }
+
+    /// The same, each on as many lines as it likes, but for empty ones.
+    pub fn indented(most: usize) -> Self {
+        Values { cut: Cut::AtEmptyLine(0), ..Values::new(most) }
+    }
+
+    /// Whether a line that ends here shows that the value it stands in was cut.
+    fn is_cut(&mut self, b: u8) -> bool {
+        match &mut self.cut {
+            Cut::Never => false,
+            Cut::AtLineEnd => b == b'\n',
+            Cut::AtEmptyLine(len) => {
+                let empty = b == b'\n' && *len == 0;
+                *len = if b == b'\n' { 0 } else { *len + usize::from(!b.is_ascii_whitespace()) };
+                empty
+            }
+        }
     }
 
     /// The one value that a whole text holds.
@@ -314,7 +341,7 @@
             if let Some(value) = self.byte(b)? {
                 return Ok((i + 1, Some(value)));
             }
-            if self.lines && b == b'\n' && !between {
+            if !between && self.is_cut(b) {
                 return Err(End::Malformed);
             }
         }
--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside/mod.rs
@@ -8,11 +8,12 @@
 
 use lilacgate::port::*;
 use lilacgate_standin::notation::bytes;
+use lilacgate_standin::start::{Start, entry};
 use lilacgate_start::Paths;
 use rstest::rstest;
 
 use crate::appliances::Appliances;
-use crate::discovery::Answer;
+use crate::discovery::{Answer, Discovery, Lines};
 use crate::hub::{Carries, Hub, Wording};
 use crate::json::{self, Json};
 use crate::keeper::{Ears, Keeper};
@@ -86,6 +87,7 @@
             "answers" => in_all_ways(resp::Values::default, &what, answer),
             "json" => in_all_ways(|| json::Values::new(100), &what, flat),
             "lines" => in_all_ways(|| json::Values::lines(100), &what, flat),
+            "indented" => in_all_ways(|| json::Values::indented(100), &what, flat),
             "http" => in_all_ways(|| Answer::new(100), &what, flat),
             other => panic!("no parser of {other}"),
         };
@@ -208,6 +210,98 @@
     assert_eq!(loads, if gauges.is_empty() { vec![] } else { vec![(1, gauges)] });
 }
 
+/// An empty line between lists is a sign of life; what comes amid one is none, so that a cut one has its time.
+#[rstest]
+fn only_between_lists_is_a_watch_alive() {
+    let mut watch = Lines(Answer::new(100));
+    let mut comes =
+        |text: &str| watch.take(text.as_bytes()).expect("it can be read").1.map(|list| list.is_some());
+    assert_eq!(comes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), Some(false));
+    assert_eq!(comes("1\r\n\n\r\n"), Some(false));
+    assert_eq!(comes("4\r\n{\n  \r\n"), None);
+    assert_eq!(comes("6\r\n"), None);
+    assert_eq!(comes("\"a\":1}\r\n"), Some(true));
+}
+
+/// A fleet of this size goes through the start file, a list that comes indented and in pieces, and the module, on the
+/// smallest memory that is given; each txn finds its appliance.
+#[rstest]
+fn large_fleets_fit(#[values(1, 350, 1024)] agents: usize, #[values(1, 300, 1024)] appliances: usize) {
+    let at = |i: usize| format!("127.1.{}.{}:6379", i / 250, 1 + i % 250).parse().expect("an address");
+    let entries = |build: &str| {
+        let one = |i| entry(&format!("{i:08x}"), at(i), "x", "ready", build, None);
+        (0..appliances).map(one).collect::<Vec<_>>().join(",")
+    };
+    let mut start = Start::default();
+    let peers: Vec<_> = (0..agents).map(|i| format!("\"127.2.{}.{}:7946\"", i / 250, 1 + i % 250)).collect();
+    start.0 = start.0.replace("\"PEER_LISTEN\",\"PEER\"", &peers.join(",\n"));
+    start.0 = start.0.replace("\"instances\":2", &format!("\"instances\":{agents}"));
+    start.set("memory_mb", "32");
+    let own = "127.0.0.1:1".to_owned();
+    let places = ["PEER_LISTEN", "LISTEN", "DISCOVERY", "PLATFORM", "PEER"].map(|name| (name, own.clone()));
+    let text = start.with(&[&places[..], &[("KNOWN", entries("1"))]].concat());
+    let told = crate::told::read(text.as_bytes()).expect("a start file");
+    assert_eq!(told.peers.len(), agents);
+    let mut brain = lilacgate_start::instance(told.seed, &told.settings).expect("a module").brain;
+    let hub = Hub::new(Duration::ZERO);
+    let links = Appliances::new(hub.clone(), &told.settings, 100).expect("links");
+    let most = told.memory / 16;
+    let discovery =
+        Discovery::new(hub.clone(), links, told.discovery, &told.settings, most).expect("discovery");
+    discovery.told(crate::told::field(&told.file, "known").expect("a list"), true).expect("it can be used");
+    // The same list again, under another build, with each field on a line of its own.
+    let list =
+        format!("{{\"version\":9,\"full\":true,\"servers\":[{}]}}", entries("2")).replace(',', ",\n    ");
+    let list =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n", list.len() + 1);
+    let (mut answer, mut lists) = (Answer::new(most), Vec::new());
+    for mut piece in list.as_bytes().chunks(1400) {
+        while !piece.is_empty() {
+            let (taken, item) = answer.take(piece).expect("it can be read");
+            lists.extend(item);
+            piece = &piece[taken..];
+        }
+    }
+    discovery.told(&lists[0], false).expect("it can be used");
+    let mut out = Sent::default();
+    let now = hub.clock.now();
+    brain.round(
+        now,
+        |module| {
+            let (keeper, recorder) = (&mut Keeper::default(), &Recorder::none());
+            hub.hear(&mut Ears { module, keeper, recorder, now });
+            module.stage(Build(2), Stage(3), Course::Released, 1.0, Duration::from_secs(9));
+            let expiry = now + Duration::from_secs(9);
+            let (product, tenant) = (Product(0), Tenant(0));
+            let txn = Txn { product, tenant, mark: None, expiry, hint: None, repeated: false };
+            (0..10).for_each(|id| module.txn(TxnId(id), txn));
+        },
+        &mut out,
+    );
+    assert_eq!((lists.len(), out.0), (1, 10));
+}
+
+/// Counts what is sent.
+#[derive(Default)]
+struct Sent(usize);
+
+impl Decisions for Sent {
+    fn submit(&mut self, _: TxnId, _: ApplianceId, _: Duration) {
+        self.0 += 1;
+    }
+    fn decline(&mut self, _: TxnId, _: Duration) {}
+    fn void(&mut self, _: TxnId) {}
+    fn call_off(&mut self, _: TxnId, _: Leg) {}
+    fn wake(&mut self, _: Duration, _: Ticket) {}
+    fn probe(&mut self, _: ApplianceId) {}
+    fn free_links(&mut self, _: ApplianceId) {}
+    fn tell(&mut self, _: Option<AgentId>, _: &[u8]) {}
+    fn log(&mut self, _: &str) {}
+    fn watch_roster(&mut self, _: bool) {}
+    fn fetch_roster(&mut self) {}
+    fn vote(&mut self, _: Build, _: Stage, _: Verdict) {}
+}
+
 /// A place writes so many lines a second, and says later how many it left out.
 #[rstest]
 fn log_lines_are_bounded() {
