The module hears when the agent ends: every txn in hand has its answer by then

Seen, n101: 14.207 stopping 17.732 client 127.14.0.3:20003 ended: stopping (and five more at once) 18.630 n101 listens at 127.10.0.102:6379 with no "stopped after": connections with txns from before SIGTERM stayed open to the kill at 17.9. Only what came after SIGTERM had its time cut, in clients.rs, and submissions already out kept the time they began with (Appliances::submit). Ruled out: answers held back in a connection's order (the last ones were answered within 0.03 s wherever in_hand was 0).

Change: Hears::ends tells the module; it cuts the time of all it holds, and begins nothing of which it would not see the end (Brain::attend). The hub ends submissions that are out in time for the answer's way back.

--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -279,7 +279,7 @@
         self.hub.clone().spawn(async move {
             let written = Cell::new(false);
             let over = async {
-                me.clock().until(until).await;
+                me.hub.until(until).await;
                 Err(Ending::TimedOut)
             };
             let off = async {
--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -197,8 +197,8 @@
     open: RefCell<BTreeMap<u64, Rc<Counter>>>,
     /// Rings when a connection has ended.
     ended: (Sender<()>, Receiver<()>),
-    /// From when on nothing is taken any more, once the agent is to end; by then all txns have their answer.
-    leaves: Cell<Option<Duration>>,
+    /// Whether nothing is taken any more, as it was asked twice to end.
+    refuses: Cell<bool>,
     /// Closed when that time has come, and when the listener is gone.
     leaving: (Sender<()>, Receiver<()>),
     deaf: (Sender<()>, Receiver<()>),
@@ -214,7 +214,7 @@
             Ok(Named { name, product: Product(i as u8), repeat: told.repeat(i)? })
         };
         let indices = 0..usize::from(told.num::<u8>("profiles.count")?);
-        let (held, ids, open, leaves) = Default::default();
+        let (held, ids, open, refuses) = Default::default();
         Ok(Rc::new(Clients {
             hub,
             appliances,
@@ -230,7 +230,7 @@
             ids,
             open,
             ended: async_channel::bounded(1),
-            leaves,
+            refuses,
             leaving: async_channel::bounded(1),
             deaf: async_channel::bounded(1),
         }))
@@ -338,7 +338,7 @@
     pub async fn stop(&self) {
         let began = self.hub.clock.now();
         let last = began + self.patience.min(MOST_EXPIRY) + LAST;
-        self.leaves.set(Some(last - WAY_OUT));
+        self.hub.ends(last - WAY_OUT);
         let hurried = async { self.leaving.1.recv().await.unwrap_or(()) };
         self.hub.clock.until(last - WAY_OUT).or(hurried).await;
         self.leaving.0.close();
@@ -362,7 +362,7 @@
 
     /// Ends sooner: takes nothing from now on.
     pub fn hurry(&self) {
-        self.leaves.set(Some(self.hub.clock.now()));
+        self.refuses.set(true);
         self.leaving.0.close();
     }
 
@@ -512,8 +512,8 @@
             product: named.product,
             tenant: Tenant(0),
             mark: Some(Mark(hasher.finish())).filter(|_| !key.is_empty()),
-            expiry: (arrived + Duration::from_millis(wait.into()))
-                .min(self.leaves.get().unwrap_or(Duration::MAX)),
+            // What has no time left is declined by the module.
+            expiry: if self.refuses.get() { arrived } else { arrived + Duration::from_millis(wait.into()) },
             hint: hint.map(|micros| Duration::from_micros(micros.into())),
             repeated: value("r") == Some("1"),
         };
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -103,12 +103,17 @@
     last: Cell<u32>,
     /// Room for an answer's way back before the client gives up.
     slack: Duration,
+    /// When the agent ends, once that is known, and a bell that rings for good then.
+    ends: Cell<Duration>,
+    ending: (Sender<()>, Receiver<()>),
 }
 
 impl Hub {
     pub fn new(slack: Duration) -> Rc<Self> {
         let (owed, last, tasks) = Default::default();
-        Rc::new(Hub { clock: Clock::new(), tasks, queue: async_channel::unbounded(), owed, last, slack })
+        let (queue, ending) = (async_channel::unbounded(), async_channel::bounded(1));
+        let ends = Cell::new(Duration::MAX);
+        Rc::new(Hub { clock: Clock::new(), tasks, queue, owed, last, slack, ends, ending })
     }
 
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
@@ -134,11 +139,27 @@
         }
     }
 
+    /// The agent ends then: all that is in hand, or comes still, has its answer before.
+    pub fn ends(&self, last: Duration) {
+        self.ends.set(last);
+        self.ending.0.close();
+        self.tell(move |ear| ear.ends(last));
+    }
+
+    /// Waits until then, or until the agent's end is so near that an answer has to go out.
+    pub async fn until(&self, then: Duration) {
+        let ending = async {
+            self.ending.1.recv().await.ok();
+            self.clock.until(self.ends.get().saturating_sub(self.slack)).await;
+        };
+        future::or(self.clock.until(then), ending).await;
+    }
+
     /// Takes a txn; `answer` is called once, with its final answer, unless the client leaves before.
     pub fn take(&self, txn: Txn, wording: Wording, answer: impl FnOnce(Answer) + 'static) -> TxnId {
         count(Count::TxnsTaken);
         let id = TxnId(self.last.replace(self.last.get().wrapping_add(1)));
-        let until = txn.expiry.saturating_sub(self.slack);
+        let until = txn.expiry.min(self.ends.get()).saturating_sub(self.slack);
         self.owed.borrow_mut().insert(id, Owed { wording, until, legs: 0, answer: Some(Box::new(answer)) });
         self.tell(move |ear| ear.txn(id, txn));
         id
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -188,6 +188,10 @@
         self.module.wrong_answer(at, product, sent_ago);
     }
 
+    fn ends(&mut self, last: Duration) {
+        self.module.ends(last);
+    }
+
     fn woken(&mut self, ticket: Ticket) {
         self.module.woken(ticket);
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -86,13 +86,10 @@
     /// Guards against the first txns of hundreds of agents.
     fn bears(&self, now: Duration, a: &Appliance, fair_rate: f64, h: &Held, due: f64) -> bool {
         let warmth = self.warmth(a.age(now));
-        if warmth >= 1.0 {
-            return true;
-        }
         let sent = a.pushed(now, self.span);
         let budget = 0.75 * self.multiple * warmth * fair_rate * self.span.as_secs_f64();
         let first = sent == 0.0 && a.out.is_empty() && h.luck.1 * 2.0 * a.part * due < budget;
-        sent + h.work <= budget || first
+        warmth >= 1.0 || sent + h.work <= budget || first
     }
 }
 
@@ -488,13 +485,16 @@
     fn attend(&mut self, id: TxnId, out: &mut dyn Decisions) -> Option<Duration> {
         let now = self.now;
         let h = self.desk.held.get_mut(&id)?;
-        let left = h.txn.expiry.saturating_sub(now) > self.desk.tick * 4;
+        let usual = self.stock.middle_pace * h.work.max(self.stock.usual_work);
+        let usual = Duration::from_secs_f64(usual.min(15.0));
+        // Once the agent is to end, nothing begins of which it would not see the end.
+        let need = if h.txn.expiry == self.desk.ends { usual } else { Duration::ZERO };
+        let left = h.txn.expiry.saturating_sub(now) > need.max(self.desk.tick * 4);
         let sla_left = (h.arrived + h.terms.sla).saturating_sub(now);
         let more = left && h.legs.len() < self.desk.max_submissions && resendable(h, now);
         let waiting = h.out().next().map(|(leg, l)| (leg, l.to, l.sent, l.called_off));
         if let Some((leg, to, sent, called_off)) = waiting {
-            let usual = 4.0 * self.stock.middle_pace * h.work.max(self.stock.usual_work);
-            let usual = Duration::from_secs_f64(usual.min(60.0)).max(h.terms.sla / 4);
+            let usual = (usual * 4).max(h.terms.sla / 4);
             // Given up for lost: nothing comes from there, or what was sent later has come back. Guards
             // against lost messages and stuck work as well as dead machines.
             let a = self.roster.fleet.0.get(&to);
--- a/src/ear.rs
+++ b/src/ear.rs
@@ -10,8 +10,9 @@
 use crate::state::*;
 
 impl Hears for Brain {
-    fn txn(&mut self, id: TxnId, txn: Txn) {
+    fn txn(&mut self, id: TxnId, mut txn: Txn) {
         let now = self.now;
+        txn.expiry = txn.expiry.min(self.desk.ends);
         let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
         let lane = self.exposure.lane(txn.product);
         self.exposure.windows.taken.entry(lane).or_default().push_back(now);
@@ -87,6 +88,11 @@
         }
     }
 
+    fn ends(&mut self, last: Duration) {
+        self.desk.ends = last;
+        self.desk.held.values_mut().for_each(|h| h.txn.expiry = h.txn.expiry.min(last));
+    }
+
     fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration) {
         let sent = self.now.saturating_sub(sent_ago);
         let Some(a) = self.roster.fleet.0.get(&at) else { return };
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -96,6 +96,8 @@
     pub(crate) may_call_off: bool,
     pub(crate) longest_advice: Duration,
     pub(crate) tick: Duration,
+    /// When the agent ends; until that is known, never.
+    pub(crate) ends: Duration,
     pub(crate) held: BTreeMap<TxnId, Held>,
 }
 
@@ -104,7 +106,7 @@
         products: Vec<Terms>, max_submissions: usize, may_call_off: bool, longest_advice: Duration,
         tick: Duration,
     ) -> Self {
-        let held = BTreeMap::new();
-        Desk { products, max_submissions, may_call_off, longest_advice, tick, held }
+        let (ends, held) = (Duration::MAX, BTreeMap::new());
+        Desk { products, max_submissions, may_call_off, longest_advice, tick, ends, held }
     }
 }
--- a/src/port.rs
+++ b/src/port.rs
@@ -205,6 +205,8 @@
     /// What the operator's own rules leave open from now on; with none, they close nothing.
     fn openings(&mut self, _open: Option<Arc<Openings>>) {}
     fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration);
+    /// The agent ends: no answer may be later than this moment.
+    fn ends(&mut self, _last: Duration) {}
     fn woken(&mut self, _ticket: Ticket) {}
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,6 +5,7 @@
 //!     at MS                                begins a round; the events that follow come in with it
 //!     roster KIND ID:MODE:BUILD[:AGE[:ZONE]] ..   | txn ID PRODUCT [EXPIRY] [MARK]   | left ID
 //!     ended ID/LEG APPLIANCE ENDING TOOK [closed] | stage BUILD STAGE COURSE CAP     | voted ENDING
+//!     ends MS                              the agent ends then
 //!     burst MANY PRODUCT                   so many txns in one round
 //!     go ID/LEG yes|no                     whether it may still go after a wait for its connection
 //!     open on|hold [BUILD:ZONE[:PRODUCTS]] ..  all that is open, as a mask of products, with the step on or without;
@@ -241,6 +242,7 @@
                 let many = many.parse().expect("a number");
                 self.round(|ear| (0..many).for_each(|i| ear.txn(TxnId(2_000_000 + i), txn)));
             }
+            ["ends", last] => self.round(|ear| ear.ends(ms(last))),
             ["left", id] => self.round(|ear| ear.client_left(TxnId(id.parse().expect("an id")))),
             ["ended", leg, at, how, took, closed @ ..] => {
                 let (id, leg) = leg.split_once('/').expect("ID/LEG");
