A watch that stood and broke is asked for again within a fifth of the time allowed

It takes the agent up to 2.5 s to see that, and where lists are asked for the module then waited 0.28 to 0.83 of rules.ask-within, 2.75 to 8.25 s of 10 s with 20 agents or more (Roster::update, Listing::Failed), so that a drain could count as told before it had asked. Change: the first failure after a list had come is asked again by chance within a fifth of that time (2 s of 10 s), or sooner with few agents; a second failure, and a start, wait as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -47,8 +47,9 @@
 
 impl Roster {
     /// Agents that came up or were refused together ask one after another, by chance; many, over half of the
-    /// time allowed. Guards against a lost subscription, and against waves that a service of fixed capacity
-    /// refuses whole, again and again. Harms, by as much, one that comes up alone amid a change.
+    /// time allowed. Guards against waves that a service of fixed capacity refuses whole, again and again.
+    /// Harms, by as much, one that comes up alone amid a change. A watch that stood and broke is asked for in a
+    /// fifth of that time at most: what it misses counts as told some seconds after it fell silent.
     pub(crate) fn update(
         &mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>, agents: u32,
         chance: &mut Pcg64Mcg,
@@ -56,15 +57,14 @@
         self.fleet.list(listing, lines);
         let Some(within) = self.ask_within else { return };
         let crowd = within * agents.min(20) / 40;
-        match listing {
-            Listing::Saved => self.ask_at = Some(now + crowd.mul_f64(chance.random())),
-            Listing::Failed => {
-                let pause = self.ask_pause.clamp(within / 20 + crowd, within);
-                self.ask_at = Some(now + pause.mul_f64(chance.random_range(0.5..1.5)));
-                self.ask_pause = pause * 2;
-            }
-            _ => self.ask_pause = Duration::ZERO,
-        }
+        let (least, pause, luck) = (within / 20 + crowd, self.ask_pause, chance.random::<f64>());
+        let (wait, next) = match listing {
+            Listing::Saved => (crowd.mul_f64(luck), least),
+            Listing::Failed if pause.is_zero() => (least.min(within / 5).mul_f64(luck), least),
+            Listing::Failed => (pause.mul_f64(0.5 + luck), (pause * 2).min(within)),
+            _ => return self.ask_pause = Duration::ZERO,
+        };
+        (self.ask_at, self.ask_pause) = (Some(now + wait), next);
     }
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -117,6 +117,40 @@
     assert!(failed <= agents as usize, "{agents} agents: {failed} calls failed");
 }
 
+/// A watch falls silent at all agents at once. What is missed counts as told 6 s later, and it takes 2.5 s to see it:
+/// each asks again within 2 s, and they do not ask all at once.
+#[rstest]
+fn a_watch_that_broke_is_asked_for_in_time(
+    #[values(1, 3, 10, 100, 350)] agents: u32, #[values(1, 2, 3)] seed: u64,
+) {
+    let (began, step) = (Duration::from_secs(100), Duration::from_millis(20));
+    let mut asked = Vec::new();
+    for me in 0..agents {
+        let mut brain = agent(me, agents, seed);
+        let mut round = |at: Duration, heard: Option<Listing>| {
+            let mut asks = Asks::default();
+            let hear = |ears: &mut dyn Hears| {
+                heard.into_iter().for_each(|l| ears.roster(l, &mut std::iter::empty()))
+            };
+            brain.round(at, hear, &mut asks);
+            asks.0
+        };
+        round(began, Some(Listing::Saved));
+        round(began + ASK_WITHIN, Some(Listing::Whole));
+        let broke = began + ASK_WITHIN * 3;
+        let mut at = broke;
+        let mut asks = round(broke, Some(Listing::Failed));
+        while !asks {
+            at += step;
+            assert!(at <= broke + ASK_WITHIN / 5 + step, "agent {me} of {agents} has not asked");
+            asks = round(at, None);
+        }
+        asked.push(at - broke);
+    }
+    let most = (0..=100).map(|i| asked.iter().filter(|at| **at == step * i).count()).max().unwrap_or(0);
+    assert!(most <= 3 + asked.len() / 20, "{most} of {agents} asked at once");
+}
+
 /// Few agents need hardly wait for each other.
 #[rstest]
 fn few_ask_soon(#[values(1, 2, 3, 4, 5)] agents: u32, #[values(1, 2, 3)] seed: u64) {
