Cold appliances bear a fleet that has just restarted: each agent knows its own traffic at once

Cause: the chance of a first txn at a cold appliance is the agent's part of the budget over all work due (Thaw::bears), and what is due came from Stock::measure: txns of the last ten seconds over ten seconds, also for an agent that has been up for one, which so took itself for asked a seventh of what it is; and it lags where clients come again at once. Measured before the change, by the new law (100 and 350 agents, a tenth of the appliances left, all cold): the most loaded got 23 and 31 txns in the first second from agents up 1 s, 20 and 24 up 2 s, 11 and 12 up 8 s; with four times the traffic from then on 38 and 39, 23 and 27, 24 and 23. It falls at 37; two cases of twelve fail. Ruled out by the same law: half of the fleet cold beside a warm half (10 to 19 at any age), the number of agents.

Change: what an agent is asked is its txns over the time it has been up, both fading alike, and what is due in a span is no less than what came in the last one, of which the exposure rule keeps exact times anyway. Result: 7 to 17 txns in all twelve cases, whatever the age.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,8 +48,8 @@
 impl Roster {
     /// Agents that came up or were refused together ask one after another, by chance; many, over half of the
     /// time allowed. Guards against waves that a service of fixed capacity refuses whole, again and again.
-    /// Harms, by as much, one that comes up alone amid a change. A watch that stood and broke is asked for in a
-    /// fifth of that time at most: what it misses counts as told some seconds after it fell silent.
+    /// Harms, by as much, one that comes up alone amid a change. A watch that stood and broke is asked for in
+    /// a fifth of that time at most: what it misses counts as told some seconds after it fell silent.
     pub(crate) fn update(
         &mut self, now: Duration, listing: Listing, lines: &mut dyn Iterator<Item = Line>, agents: u32,
         chance: &mut Pcg64Mcg,
@@ -453,8 +453,7 @@
         let now = self.now;
         (self.stock.next, self.stock.heard) = (now + self.desk.tick * 20, 0);
         let fleet = &self.roster.fleet;
-        let listed = fleet.weight() * std::mem::take(&mut self.stock.passed).as_secs_f64();
-        self.demand.borne.add(now, USUAL, 0.0, listed);
+        let listed = self.demand.lived(now, USUAL, std::mem::take(&mut self.stock.passed), fleet.weight());
         self.jury.own.work([0.0, self.jury.own.bore * listed, 0.0]);
         self.stock.measure(now, (RECENT, USUAL), fleet, &self.demand);
         let mut paces: Vec<f64> = fleet.ready().map(|(_, a)| pace(a, now, &self.stock)).collect();
@@ -607,7 +606,8 @@
                 seat.odds *= if home { 1.0 } else { 1e-3 };
             }
         }
-        let due = self.stock.asked * self.thaw.span.as_secs_f64() + self.desk.held.len() as f64;
+        let lately = self.exposure.windows.all_since(now.saturating_sub(self.thaw.span)) as f64;
+        let due = lately.max(self.stock.asked * self.thaw.span.as_secs_f64()) + self.desk.held.len() as f64;
         self.stock.due = due * self.stock.usual_work;
         self.stock.seats = seats;
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -279,8 +279,9 @@
     pub(crate) full: Ratio,
     /// Answers that came after the SLA time or not at all, and all answers.
     pub(crate) late: Ratio,
-    /// Submissions served, and txns taken, in the long run.
+    /// Submissions served, and txns taken, in the long run; and for how long the agent has been up meanwhile.
     pub(crate) met: Ratio,
+    pub(crate) up: Fading,
     /// Resends served, and all that ended.
     pub(crate) again: Ratio,
 }
@@ -319,6 +320,14 @@
         }
     }
 
+    /// Notes that time has passed at this listed weight, and returns their product.
+    pub(crate) fn lived(&mut self, now: Duration, half: Duration, passed: Duration, weight: f64) -> f64 {
+        let (passed, listed) = (passed.as_secs_f64(), passed.as_secs_f64() * weight);
+        self.borne.add(now, half, 0.0, listed);
+        self.up.add(now, half / 2, passed);
+        listed
+    }
+
     pub(crate) fn served(&mut self, now: Duration, halves: (Duration, Duration), work: f64) {
         self.lately.add(now, halves.0, 1.0);
         self.borne.add(now, halves.1, work, 0.0);
@@ -345,6 +354,11 @@
         self.taken.get(&lane).map_or(0, |times| since(times, from))
     }
 
+    /// Txns of all lanes taken since then.
+    pub(crate) fn all_since(&self, from: Duration) -> usize {
+        self.taken.values().map(|times| since(times, from)).sum()
+    }
+
     pub(crate) fn trim(&mut self, before: Duration) {
         for times in self.taken.values_mut().chain(self.sent.values_mut()) {
             while times.front().is_some_and(|t| *t < before) {
@@ -558,7 +572,8 @@
         self.usual_pace = fleet.pace(now, halves.1).unwrap_or(1.0);
         self.usual_work = demand.work(now, halves.1, |_| true).unwrap_or(1e-3).max(1e-4);
         self.served = rate(demand.lately.read(now, halves.0), halves.0);
-        self.asked = rate(demand.met.read(now, halves.1 / 2).1, halves.1 / 2);
+        // Over the time that the agent has been up: one that has just started is asked no less than others.
+        self.asked = demand.met.read(now, halves.1 / 2).1 / demand.up.read(now, halves.1 / 2).max(1e-3);
         let (borne, weight) = demand.borne.read(now, halves.1);
         self.fair = borne / weight.max(1e-9);
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -208,6 +208,74 @@
     (met, got)
 }
 
+/// The most txns that one of the appliances gets in the second after a build was taken back, and all may go only to the
+/// tenth that has just started under the earlier one: from agents that have been up for so long and are asked eight txns a
+/// second, each answered after a tenth of one, and from then on so many times as many, as clients come again.
+fn sent_to_cold(agents: u32, appliances: u32, up: Duration, times: u32, seed: u64) -> u32 {
+    let mut got = vec![0; appliances as usize];
+    let number = |i: u32| ApplianceId(i.wrapping_mul(0x9E37_79B9));
+    let began = Duration::from_secs(100);
+    for me in 0..agents {
+        let mut brain = agent(me, agents, seed);
+        let (mut out, mut next, mut told) = (VecDeque::new(), 0, 0);
+        for beat in 0..=(up + Duration::from_secs(1)).as_millis() as u32 / 10 {
+            let now = began + Duration::from_millis(10) * beat;
+            let cold = now > began + up;
+            let mut asks = Asks::default();
+            let hear = |ears: &mut dyn Hears| {
+                if told < 1 + u32::from(cold) {
+                    told += 1;
+                    let line = |i: u32| Line {
+                        appliance: number(i),
+                        mode: if cold && i % 10 > 0 { Mode::Draining } else { Mode::Ready },
+                        model: Model(0),
+                        weight: 4.0,
+                        started: Some(began + up).filter(|_| cold && i % 10 == 0),
+                        build: Build(1),
+                        cell: Cell(0),
+                        zone: Zone(0),
+                    };
+                    ears.roster(Listing::Whole, &mut (0..appliances).map(line));
+                    ears.stage(Build(1), Stage(2), Course::Released, 1.0, ASK_WITHIN);
+                }
+                let due = out.partition_point(|(at, ..): &(u32, _, _)| at + 10 <= beat);
+                for (_, id, to) in out.drain(..due) {
+                    ears.ended(id, Leg(0), to, Ending::Served, Duration::from_millis(100), true);
+                }
+                let again = if cold { (times - 1) * 8 * (beat - up.as_millis() as u32 / 10) } else { 0 };
+                if (beat * 8 + again) / 100 > next {
+                    next += 1;
+                    let (product, hint, expiry) = (Product(0), Some(READ.sla / 5), now + READ.expiry);
+                    let (tenant, mark, repeated) = (Tenant(0), None, false);
+                    ears.txn(TxnId(next), Txn { product, tenant, mark, expiry, hint, repeated });
+                }
+            };
+            brain.round(now, hear, &mut asks);
+            for (id, to) in asks.1 {
+                out.push_back((beat, id, to));
+                let at = (0..appliances).position(|i| number(i) == to).expect("a listed appliance");
+                got[at] += u32::from(cold);
+            }
+        }
+    }
+    got.into_iter().max().unwrap_or_default()
+}
+
+/// Cold appliances do not fall over under the sum of all agents, also where these have just come up themselves and
+/// know little of their own traffic.
+#[rstest]
+fn no_cold_appliance_falls(
+    #[values(100, 350)] agents: u32, #[values(1, 2, 8)] up: u64, #[values(1, 4)] times: u32,
+) {
+    let appliances = agents / 3;
+    let most = sent_to_cold(agents, appliances, Duration::from_secs(up), times, 1);
+    // What they bear is taken for what they can do, of which a cold one has 0.34, and may be sent 2.5 times as much.
+    let allowed = 2.5 * 0.34 * f64::from(agents) * 8.0 / f64::from(appliances);
+    let falls = allowed + 3.0 * allowed.sqrt() + 3.0;
+    println!("{most} of {falls}");
+    assert!(f64::from(most) <= falls, "one got {most} txns in a second and falls at {falls:.0}");
+}
+
 /// Many agents that each ask little keep to few appliances, and yet load all of them alike.
 #[rstest]
 fn many_agents_spread_evenly_over_few_links_each(
