--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -227,10 +227,10 @@
                     told += 1;
                     let line = |i: u32| Line {
                         appliance: number(i),
-                        mode: if cold && i % 10 > 0 { Mode::Draining } else { Mode::Ready },
+                        mode: if cold && !i.is_multiple_of(10) { Mode::Draining } else { Mode::Ready },
                         model: Model(0),
                         weight: 4.0,
-                        started: Some(began + up).filter(|_| cold && i % 10 == 0),
+                        started: Some(began + up).filter(|_| cold && i.is_multiple_of(10)),
                         build: Build(1),
                         cell: Cell(0),
                         zone: Zone(0),
