Scenarios' agents listen at an address of their own, so that no test takes their port

Need: one of eight runs of the agent's 51 scenarios failed before this, at the first PING of client-leaves.txt: its connection ended without an answer (real sockets on loopback). A port was drawn free on the one loopback address where fifty tests open listeners at the same time, and given to the agent only later. That another test had it is inferred, not seen: the log of that run holds no line. The town had the same trouble and its own address for it (own_host). Change: the scenarios use that too; `free`, which nobody calls any more, is gone.

--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -41,7 +41,7 @@
 use std::thread;
 use std::time::Duration;
 
-use lilacgate_standin::agent::{Agent, free, free_for_datagrams, logged};
+use lilacgate_standin::agent::{Agent, free_at, free_for_datagrams, logged, own_host};
 use lilacgate_standin::notation::{bytes, fits};
 use lilacgate_standin::post::{
     self, PATIENCE, Post, Said, chunk, command, discovery, platform, resp, rollout,
@@ -93,7 +93,7 @@
             desks: HashMap::new(),
             operator: None,
             version: 5,
-            listen: free(),
+            listen: free_at(own_host()),
             folder: tempfile::tempdir().expect("a folder"),
             agent: None,
             log: Arc::default(),
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -11,10 +11,6 @@
 use crate::post::{PATIENCE, line};
 
 /// A port that is free now.
-pub fn free() -> SocketAddr {
-    free_at(Ipv4Addr::LOCALHOST)
-}
-
 pub fn free_at(host: Ipv4Addr) -> SocketAddr {
     TcpListener::bind((host, 0)).and_then(|l| l.local_addr()).expect("a free port")
 }
