A connection that the agent ends is ended gently, with every answer that it owes

Cause, from reading clients.rs and tried on loopback (real sockets) before the change: - `read` returned `Silent` for half a command, and the whole connection went with it: a whole command before it, taken and out at an appliance, lost its answer ("client 1 reads the end" where it was owed $1). - After a flood, or bytes that cannot be read, `serve` closed the socket with the client's further bytes unread, which resets it ("Connection reset by peer" behind the answers, in unread-at-the-end.txt). - Meanwhile `future::pending()` read nothing, so that a client's close was never seen and its txn stayed in hand (left_by_client stayed 0 for 20 s in leaves-amid-flood.txt).

Change: such a connection is deaf, not gone: it reads and drops, answers what it owes, ends its sending side, and closes once the client has seen it, after limits.connect-timeout or the agent's end. While nothing was answered on it, it closes at once. On the way out a connection closes at the first moment between commands; up to three quarters of the way out (half before) what it still brings is answered, too.

Ruled out: `Ring::fill` with no room (the parser takes all that was read before each fill, so the ring is empty there).

Two scenarios failed here beside other load, by their script: the end of one connection and a command on another have no common order, and a log was read before it was whole.

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -4,8 +4,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io::ErrorKind;
-use std::net::{TcpListener, TcpStream};
+use std::io::{ErrorKind, Read};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
 const WAY_OUT: Duration = LAST.checked_div(4).unwrap();
 /// How long it waits for a connection to be gone before it looks again.
 const LOOK: Duration = WAY_OUT.checked_div(8).unwrap();
+/// So many bytes are read at a time where they are dropped.
+const DISCARDED: usize = 4 << 10;
 
 /// Bytes that clients' txns and answers hold, of all that may be held.
 #[derive(Clone, Default)]
@@ -120,7 +122,7 @@
             stream.get_ref().peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
         };
         let deaf = match self.ending.get() {
-            Some(End::Malformed | End::TooLong | End::Flood) => true,
+            Some(End::Malformed | End::TooLong | End::Flood | End::Silent) => true,
             Some(End::Crowded) => !self.used.get(),
             Some(End::Stopping) => self.last.get(),
             _ => false,
@@ -132,6 +134,11 @@
         self.ending.get().is_none() && self.is_between()
     }
 
+    /// Whether the module has yet to answer something that came here.
+    fn owes(&self) -> bool {
+        self.due.borrow().iter().any(|due| matches!(due, Due::Owed(_)))
+    }
+
     /// Fills the place of an answer, wherever in the order it stands.
     fn ready(&self, place: u64, bytes: Vec<u8>) {
         let at = place.checked_sub(self.first.get()).and_then(|at| usize::try_from(at).ok());
@@ -200,6 +207,8 @@
     /// Rings when nothing is taken any more, and when the listener is gone.
     leaving: Bell,
     deaf: Bell,
+    /// When the last connection has to be gone, once the agent is to end.
+    last: Cell<Duration>,
 }
 
 impl Clients {
@@ -230,6 +239,7 @@
             ended: async_channel::bounded(1),
             leaving: Bell::new(),
             deaf: Bell::new(),
+            last: Cell::default(),
         }))
     }
 
@@ -335,6 +345,7 @@
     pub async fn stop(&self) {
         let began = self.hub.clock.now();
         let last = began + self.patience.min(MOST_EXPIRY) + LAST;
+        self.last.set(last - LOOK);
         self.hub.ends(last - WAY_OUT);
         self.hub.clock.until(last - WAY_OUT).or(self.leaving.rung()).await;
         self.leaving.ring();
@@ -343,12 +354,12 @@
         while !self.open.borrow().is_empty() && self.hub.clock.now() < last + self.patience {
             let now = self.hub.clock.now();
             // What comes without a pause is not read any more; on a new connection a first command is due.
-            let late = way_out + WAY_OUT / 2 <= now;
-            for counter in self.open.borrow().values() {
+            let late = way_out + WAY_OUT * 3 / 4 <= now;
+            for counter in self.open.borrow().values().filter(|c| late || c.ending.get().is_none()) {
                 counter.last.set(late);
                 let rest = if counter.used.get() { Duration::ZERO } else { WAY_OUT / 4 };
-                if late || counter.since.get() + rest <= now && counter.is_idle() {
-                    counter.end(End::Stopping);
+                if late || counter.since.get() + rest <= now {
+                    counter.end(counter.ending.get().unwrap_or(End::Stopping));
                 }
             }
             self.moment().await;
@@ -400,25 +411,55 @@
             }
         };
         let end = self.read(stream.clone(), intake, &counter).or(answers).await;
-        // At once: what comes between the last look and the end is lost, or comes again.
-        drop(stream);
         for due in counter.due.take() {
             if let Due::Owed(id) = due {
                 self.hub.client_left(id);
             }
         }
+        if counter.ending.get() == Some(end) && counter.first.get() > 0 {
+            self.linger(&stream).await;
+        }
+        drop(stream);
         self.open.borrow_mut().remove(&serial);
         self.ended.0.try_send(()).ok();
         count(Count::ClientsOut);
         say!("client {who} ended: {end}");
     }
 
+    /// Ends the sending side first, and drops what comes until the client has seen it: to close while something
+    /// stands unread would reset the connection, and a reset destroys answers that the client has not read yet.
+    /// It takes no longer than a connection may take to come up, nor beyond the agent's own end.
+    async fn linger(&self, stream: &Async<TcpStream>) {
+        stream.get_ref().shutdown(Shutdown::Write).ok();
+        let over = async {
+            self.leaving.rung().await;
+            self.hub.clock.until(self.last.get()).await;
+            Err(End::Stopping)
+        };
+        let seen = async { Err::<(), _>(self.discard(stream).await) };
+        within(self.settles, seen.or(over)).await.ok();
+    }
+
+    /// Reads and drops, up to the client's end, or to as many bytes as all clients together may have held.
+    async fn discard(&self, stream: &Async<TcpStream>) -> End {
+        let (mut dropped, mut bytes) = (0, [0; DISCARDED]);
+        while dropped < self.most_held {
+            match stream.read_with(|mut from| from.read(&mut bytes)).await {
+                Ok(0) => return End::Closed,
+                Ok(many) => dropped += many,
+                Err(fault) => return fault.into(),
+            }
+            future::yield_now().await;
+        }
+        End::Flood
+    }
+
     async fn read(
         &self, stream: Rc<Async<TcpStream>>, intake: Intake<resp::Commands>, counter: &Rc<Counter>,
     ) -> End {
-        let commands = items(stream, intake);
+        let commands = items(stream.clone(), intake);
         pin!(commands);
-        loop {
+        let why = loop {
             let next = commands.next();
             let next = if counter.used.get() {
                 next.await
@@ -433,9 +474,9 @@
                     }
                     // What is asked one behind another has a bound; the rest is not read.
                     if counter.due.borrow().len() >= self.most_due {
+                        count(Count::CommandsRefused);
                         counter.say("-ERR too many commands at once");
-                        counter.end(End::Flood);
-                        return future::pending().await;
+                        break End::Flood;
                     }
                     // One that pipelines without end leaves others their turn.
                     future::yield_now().await;
@@ -443,13 +484,18 @@
                 Some(Err(end @ (End::Malformed | End::TooLong))) => {
                     count(Count::CommandsRefused);
                     counter.say(&format!("-ERR protocol error: {end}"));
-                    counter.end(end);
-                    return future::pending().await;
+                    break end;
                 }
+                // What came before a command that was never made whole has its answers still.
+                Some(Err(End::Silent)) => break End::Silent,
                 Some(Err(end)) => return end,
                 None => return End::Closed,
             }
-        }
+        };
+        // Nothing more is taken; but a client that goes while it is owed an answer has to be noticed.
+        counter.end(why);
+        let gone = self.discard(&stream).await;
+        if gone != End::Flood && counter.owes() { gone } else { future::pending().await }
     }
 
     fn command(&self, arrived: Duration, command: Vec<Vec<u8>>, counter: &Rc<Counter>) -> Result<(), String> {
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -8,7 +8,9 @@
 //!     client N raw BYTES           bytes as they are, with \r \n \xHH and <COUNT*BYTES>
 //!     client N reads ANSWER        one whole answer: $VALUE, -TEXT or +TEXT, to where it ends in *
 //!     client N opens / leaves / ended [MS]   it opens its connection / closes it / finds it closed, so soon
+//!     client N stops / closed      it ends its sending side / finds the agent's side ended, and not reset
 //!     NAME gets COMMAND            the next command that any connection brings it; a `*` stands for anything
+//!     NAME gets the end            a connection to it ends, whatever others bring meanwhile
 //!     NAME answers BYTES           on the connection of that command
 //!     NAME turns ID                goes back to the connection that brought this one
 //!     NAME ends / vanishes / waits that connection breaks / it stops listening / no command is there
@@ -34,7 +36,7 @@
 //!     signal NAME / counter NAME N / ends CODE / log TEXT
 use std::collections::HashMap;
 use std::io::{BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
@@ -44,7 +46,7 @@
 use lilacgate_standin::agent::{Agent, free_at, free_for_datagrams, logged, own_host};
 use lilacgate_standin::notation::{bytes, fits};
 use lilacgate_standin::post::{
-    self, PATIENCE, Post, Said, chunk, command, discovery, platform, resp, rollout,
+    self, PATIENCE, Post, Said, THE_END, chunk, command, discovery, platform, resp, rollout,
 };
 use lilacgate_standin::start::{Start, entry};
 use rstest::rstest;
@@ -184,6 +186,10 @@
             }
             "opens" => {}
             "leaves" => drop(self.clients.remove(name)),
+            "stops" => conn.get_ref().shutdown(Shutdown::Write).expect("its side ends"),
+            "closed" => {
+                assert_eq!(conn.read(&mut [0]).expect("no reset"), 0, "client {name} is still served")
+            }
             "ended" => {
                 let within = rest.parse().map_or(PATIENCE, Duration::from_millis);
                 conn.get_ref().set_read_timeout(Some(within)).expect("a time-out");
@@ -203,6 +209,7 @@
         let post = self.appliances.get_mut(name).unwrap_or_else(|| panic!("no step {name} {what}"));
         let (verb, rest) = what.split_once(' ').unwrap_or((what, ""));
         match verb {
+            "gets" if rest == THE_END => post.heard_end(),
             "gets" => {
                 let got = post.heard();
                 assert!(fits(rest, &got), "{name} gets {got:.200}");
@@ -210,7 +217,7 @@
             "answers" => post.write(&bytes(rest)),
             "ends" => post.end(),
             "vanishes" => post.vanish(),
-            "waits" => assert!(post.said.try_recv().is_err(), "{name} got something"),
+            "waits" => assert!(post.is_quiet(), "{name} got something"),
             "turns" => post.turn(rest),
             "links" => assert_eq!(post.conns.lock().expect("a lock").len().to_string(), rest),
             _ => panic!("no step {name} {what}"),
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -47,6 +47,8 @@
 pub struct Agent {
     child: Child,
     pub log: Arc<Mutex<String>>,
+    /// Reads its log, up to its end.
+    reader: Option<thread::JoinHandle<()>>,
 }
 
 impl Agent {
@@ -62,13 +64,13 @@
         let mut child = shell.stderr(Stdio::piped()).spawn().expect("the agent starts");
         let (from, log) = (child.stderr.take().expect("its log"), Arc::new(Mutex::new(String::new())));
         let kept = log.clone();
-        thread::spawn(move || {
+        let reader = thread::spawn(move || {
             let mut from = BufReader::new(from);
             while let Some(said) = line(&mut from) {
                 kept.lock().expect("a lock").push_str(&format!("{said}\n"));
             }
         });
-        Agent { child, log }
+        Agent { child, log, reader: Some(reader) }
     }
 
     /// The program beside the one that runs now, or where `LILACGATE_PROGRAM` says.
@@ -105,9 +107,11 @@
         }
     }
 
-    /// How it ends: its code, or that it was killed.
+    /// How it ends: its code, or that it was killed. Its log is whole by then.
     pub fn ended(mut self) -> String {
-        self.ends_within(PATIENCE).expect("the agent ends")
+        let how = self.ends_within(PATIENCE).expect("the agent ends");
+        self.reader.take().map(|reader| reader.join().ok());
+        how
     }
 }
 
--- a/crates/standin/src/post.rs
+++ b/crates/standin/src/post.rs
@@ -1,5 +1,6 @@
 //! Owns stand-ins that listen and say nothing by themselves: what came is queued for the script, which answers. It
 //! knows how each protocol frames its messages, not what they mean.
+use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -46,6 +47,9 @@
     Some(first)
 }
 
+/// What a connection's end is said to be.
+pub const THE_END: &str = "the end";
+
 /// Which connection brought something, and what.
 pub type Said = (usize, String);
 
@@ -56,6 +60,8 @@
     pub conns: Arc<Mutex<Vec<TcpStream>>>,
     listening: Arc<Mutex<bool>>,
     last: usize,
+    /// What came while the end of another connection was waited for.
+    kept: VecDeque<Said>,
     /// Which connection brought which command.
     came: Vec<Said>,
     life: Option<thread::JoinHandle<()>>,
@@ -86,7 +92,16 @@
                 thread::spawn(move || serve(conn, number, read, when, hello, sign, say));
             }
         });
-        Post { at, said, conns, listening, last: 0, came: Vec::new(), life: Some(life) }
+        Post {
+            at,
+            said,
+            conns,
+            listening,
+            last: 0,
+            kept: VecDeque::new(),
+            came: Vec::new(),
+            life: Some(life),
+        }
     }
 
     /// What came next, from whichever connection.
@@ -94,12 +109,44 @@
     /// # Panics
     /// Where nothing comes: the script waits for what never happens.
     pub fn heard(&mut self) -> String {
-        let (number, said) = self.said.recv_timeout(PATIENCE).expect("something comes");
+        let (number, said) = self.next();
         self.last = number;
         self.came.push((number, said.clone()));
         said
     }
 
+    /// Waits for a connection's end. What another connection brings before stays for the next call: two connections
+    /// have no common order.
+    ///
+    /// # Panics
+    /// Where none ends.
+    pub fn heard_end(&mut self) {
+        let mut others = VecDeque::new();
+        loop {
+            match self.next() {
+                (number, said) if said == THE_END => {
+                    assert!(
+                        others.iter().all(|(other, _)| *other != number),
+                        "it brought more before: {others:?}"
+                    );
+                    break self.last = number;
+                }
+                other => others.push_back(other),
+            }
+        }
+        self.kept.extend(others);
+    }
+
+    /// Whether nothing has come.
+    pub fn is_quiet(&self) -> bool {
+        self.kept.is_empty() && self.said.try_recv().is_err()
+    }
+
+    fn next(&mut self) -> Said {
+        let kept = self.kept.pop_front();
+        kept.unwrap_or_else(|| self.said.recv_timeout(PATIENCE).expect("something comes"))
+    }
+
     /// Goes back to the connection that brought a command with this id.
     pub fn turn(&mut self, id: &str) {
         let found = self.came.iter().rfind(|(_, said)| said.contains(&format!(" {id} ")));
@@ -152,7 +199,7 @@
             return;
         }
     }
-    say.send((number, "the end".into())).ok();
+    say.send((number, THE_END.into())).ok();
 }
 
 /// The head of a watch, and its sign of life.
@@ -185,7 +232,7 @@
     let mut platform = Post::new(line, "listen", LISTENS, PING);
     let (both, (votes, voted), (listen, listeners)) = (platform.said, channel(), channel());
     thread::spawn(move || {
-        for said in both.into_iter().filter(|said| said.1 != "the end") {
+        for said in both.into_iter().filter(|said| said.1 != THE_END) {
             let to = if said.1.contains("listen") { &listen } else { &votes };
             if to.send(said).is_err() {
                 return;
