The agent is a library with a thin main, and no test stands in src any more

Need: tests live in test files. What can only be seen from inside was compiled into the program's own test build by a path.

Change: `lilacgate_agent` holds the modules, `main.rs` calls its `run`; tests/inside.rs uses the library. The recorder that keeps nothing is made by the tests from settings, not by a function under cfg(test).

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -237,8 +237,8 @@
             ids,
             open,
             ended: async_channel::bounded(1),
-            leaving: Bell::new(),
-            deaf: Bell::new(),
+            leaving: Bell::default(),
+            deaf: Bell::default(),
             last: Cell::default(),
         }))
     }
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -58,7 +58,8 @@
 }
 
 impl Clock {
-    pub fn new() -> Self {
+    /// Reads the machine's clock, once.
+    pub fn start() -> Self {
         let before = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { started: Instant::now(), before }
     }
@@ -112,9 +113,9 @@
 impl Hub {
     pub fn new(slack: Duration) -> Rc<Self> {
         let (owed, last, tasks) = Default::default();
-        let (queue, ending) = (async_channel::unbounded(), Bell::new());
+        let (queue, ending) = (async_channel::unbounded(), Bell::default());
         let ends = Cell::new(Duration::MAX);
-        Rc::new(Hub { clock: Clock::new(), tasks, queue, owed, last, slack, ends, ending })
+        Rc::new(Hub { clock: Clock::start(), tasks, queue, owed, last, slack, ends, ending })
     }
 
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,182 @@
+//! The lilacgate agent: one program around the decision module, on real sockets. This file owns its start, its
+//! signals and its end, and puts the parts together; `main.rs` only calls it. It must never start half: what it is told is usable, or one line
+//! says what is not.
+#![forbid(unsafe_code)]
+
+pub mod appliances;
+pub mod clients;
+pub mod desk;
+pub mod discovery;
+pub mod hub;
+pub mod json;
+pub mod keeper;
+pub mod log;
+pub mod peers;
+pub mod platform;
+pub mod recorder;
+pub mod releases;
+pub mod resp;
+pub mod ring;
+pub mod told;
+
+use std::collections::BTreeSet;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use async_io::Async;
+use async_signal::{Signal, Signals};
+use clap::Parser;
+use futures_lite::{FutureExt, StreamExt};
+
+use crate::clients::Clients;
+use crate::discovery::Discovery;
+use crate::json::Json;
+use crate::log::say;
+use crate::platform::Platform;
+
+/// Descriptors for all but clients and links: output, the reactor, signals, listeners, discovery, the platform.
+const OWN: usize = 32;
+
+/// Routes its clients' txns to appliances of the old and the new build, and votes the new one on or back.
+///
+/// RELAY_CONFIG names the start file. Signals: USR1 writes the counters, and the releases' state where the operator's
+/// file wants it; HUP reads both files again; TERM and INT end it.
+#[derive(Parser)]
+#[command(name = "lilacgate", version)]
+struct Asking {
+    /// The operator's own file; without one nothing is narrowed
+    #[arg(long, value_name = "FILE", env = "LILACGATE_OPERATOR")]
+    operator: Option<PathBuf>,
+}
+
+/// Runs the agent, as its command line and its environment ask, up to its end. What keeps it from starting is one line
+/// on standard error, and a failure.
+pub fn run() -> ExitCode {
+    match start(Asking::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("lilacgate: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(asking: Asking) -> Result<(), String> {
+    let file = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG names no start file")?;
+    // First of all: until it is heard, a signal may end the agent.
+    let heard = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
+    let heard = Signals::new(heard).map_err(|fault| format!("signals: {fault}"))?;
+    let told = told(&file)?;
+    let unusable = |name: &str| format!("the start file's {name} cannot be used");
+    let settings = &told.settings;
+    let brain = lilacgate_start::instance(told.seed, settings)?.brain;
+    let hub = hub::Hub::new(settings.span("rules.answer-slack")?);
+    // What the agent itself needs comes first; clients, and links to appliances, have half of the rest each.
+    let part = told.sockets.saturating_sub(OWN) / 2;
+    if part < 2 {
+        return Err(unusable("limits.sockets"));
+    }
+    let appliances = appliances::Appliances::new(hub.clone(), settings, part)?;
+    let clients = clients::Clients::new(hub.clone(), appliances.clone(), settings, part, told.memory / 4)?;
+    let most = told.memory / 16;
+    let discovery =
+        discovery::Discovery::new(hub.clone(), appliances.clone(), told.discovery, settings, most)?;
+    let platform = platform::Platform::new(hub.clone(), told.platform, settings)?;
+    let (releases, gate, timeline) = releases::File::new(asking.operator, &told.name, settings, hub.clone())?;
+    let peers = match told.peer_listen {
+        Some(listen) => Some(peers::Peers::new(hub.clone(), listen, told.peers, told.peers_all)?),
+        None => None,
+    };
+    let within = |path| told::field(&told.file, path).unwrap_or(&Json::Null);
+    // The news first: what is listed is read by them.
+    let news = desk::news(within("pipeline.news")).ok_or_else(|| unusable("pipeline.news"))?;
+    hub.tell(platform::hear(news));
+    discovery.told(within("known"), true).ok_or_else(|| unusable("known"))?;
+    let listener =
+        Async::<TcpListener>::bind(told.listen).map_err(|e| format!("listen {}: {e}", told.listen))?;
+    say!("{} listens at {}", told.name, told.listen);
+    hub.spawn(discovery.clone().run());
+    hub.spawn(platform.desk.clone().run());
+    if let Some(peers) = &peers {
+        hub.spawn(peers.clone().run());
+    }
+    hub.spawn(appliances.clone().sweep());
+    let asked = (discovery.clone(), platform.clone());
+    let signals = Asked { heard, file, first: told.file, discovery: asked.0, platform: asked.1, releases };
+    let peers = peers.map(|peers| peers as Rc<dyn hub::Tells>);
+    let recorder = recorder::Recorder::new(&told.name, &told.settings, timeline, hub.clock.now())?;
+    let (keeper, recorder, wakes) = (keeper::Keeper::new(gate), Rc::new(recorder), BTreeSet::new());
+    let hands =
+        hub::Hands { hub: hub.clone(), appliances, discovery, platform, peers, keeper, recorder, wakes };
+    hub.spawn(hands.host(brain));
+    hub.spawn(clients.clone().sweep());
+    hub.spawn(clients.clone().accept(listener));
+    async_io::block_on(hub.run(signals.serve(clients)));
+    Ok(())
+}
+
+fn told(file: &str) -> Result<told::Told, String> {
+    let text = std::fs::read(file).map_err(|fault| format!("the start file {file}: {fault}"))?;
+    told::read(&text)
+}
+
+/// What the agent is asked by signals.
+struct Asked {
+    heard: Signals,
+    file: String,
+    /// The start file as it was at the start.
+    first: Json,
+    discovery: Rc<Discovery>,
+    platform: Rc<Platform>,
+    releases: releases::File,
+}
+
+impl Asked {
+    /// Until the end. At SIGTERM the agent serves on as long as it may, then answers all that was taken; a second one
+    /// makes it take nothing more, a third one ends it at once.
+    async fn serve(mut self, clients: Rc<Clients>) {
+        self.until_stop().await;
+        say!("stopping");
+        let asked_again = async {
+            self.until_stop().await;
+            say!("stopping sooner");
+            clients.hurry();
+            self.until_stop().await;
+        };
+        clients.stop().or(asked_again).await;
+        eprintln!("counters:{}", log::counters());
+    }
+
+    /// Counters at SIGUSR1; at SIGHUP the start file is read again.
+    async fn until_stop(&mut self) {
+        while let Some(Ok(signal @ (Signal::Usr1 | Signal::Hup))) = self.heard.next().await {
+            match signal {
+                Signal::Hup => {
+                    self.reload();
+                    self.releases.reload();
+                }
+                _ => {
+                    eprintln!("counters:{}", log::counters());
+                    self.releases.write_state();
+                }
+            }
+        }
+    }
+
+    /// Takes over where discovery and the platform listen, and nothing else; of a file that cannot be used, nothing.
+    fn reload(&self) {
+        let told = match told(&self.file) {
+            Ok(told) => told,
+            Err(fault) => return say!("reload: {fault}; nothing changes"),
+        };
+        let left = told::differences(&self.first, &told.file);
+        if !left.is_empty() {
+            say!("reload: only a restart takes over {}", left.join(", "));
+        }
+        say!("reload: discovery at {}, platform at {}", told.discovery, told.platform);
+        self.discovery.place.move_to(told.discovery);
+        self.platform.desk.place.move_to(told.platform);
+    }
+}
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -15,6 +15,12 @@
     left_out: AtomicU64,
 }
 
+impl Default for Place {
+    fn default() -> Self {
+        Place::new()
+    }
+}
+
 impl Place {
     pub const fn new() -> Self {
         Place { second: AtomicU64::new(0), said: AtomicU64::new(0), left_out: AtomicU64::new(0) }
--- a/crates/agent/src/recorder.rs
+++ b/crates/agent/src/recorder.rs
@@ -62,19 +62,6 @@
 }
 
 impl Recorder {
-    /// Keeps nothing.
-    #[cfg(test)]
-    pub fn none() -> Recorder {
-        let told = Told { agent: String::new(), products: Vec::new(), ramp: Duration::ZERO };
-        Recorder {
-            told,
-            open: RefCell::default(),
-            aside: RefCell::default(),
-            on: Cell::new(false),
-            names: RefCell::default(),
-        }
-    }
-
     /// # Errors
     /// A setting that cannot be used.
     pub fn new(agent: &str, told: &Paths, set: Option<Timeline>, now: Duration) -> Result<Recorder, String> {
--- a/crates/agent/src/ring.rs
+++ b/crates/agent/src/ring.rs
@@ -163,12 +163,14 @@
 /// Rings once, for good: whoever waits for it, before or after, goes on.
 pub struct Bell(Sender<()>, Receiver<()>);
 
-impl Bell {
-    pub fn new() -> Self {
+impl Default for Bell {
+    fn default() -> Self {
         let (sender, receiver) = async_channel::bounded(1);
         Bell(sender, receiver)
     }
+}
 
+impl Bell {
     pub fn ring(&self) {
         self.0.close();
     }
--- a/crates/agent/tests/inside/mod.rs
+++ b/crates/agent/tests/inside.rs
@@ -13,15 +13,15 @@
 use lilacgate_start::Paths;
 use rstest::rstest;
 
-use crate::appliances::Appliances;
-use crate::discovery::{Answer, Discovery, Lines};
-use crate::hub::{Carries, Hub, Wording};
-use crate::json::{self, Json};
-use crate::keeper::{Ears, Keeper};
-use crate::log::Place;
-use crate::recorder::Recorder;
-use crate::resp::{self, Resp};
-use crate::ring::Parse;
+use lilacgate_agent::appliances::Appliances;
+use lilacgate_agent::discovery::{Answer, Discovery, Lines};
+use lilacgate_agent::hub::{Carries, Hub, Wording};
+use lilacgate_agent::json::{self, Json};
+use lilacgate_agent::keeper::{Ears, Keeper};
+use lilacgate_agent::log::Place;
+use lilacgate_agent::recorder::Recorder;
+use lilacgate_agent::resp::{self, Resp};
+use lilacgate_agent::ring::Parse;
 
 /// What a parser finds in these pieces, as a text.
 fn found<P: Parse>(mut parser: P, pieces: &[&[u8]], show: &impl Fn(P::Item) -> String) -> String {
@@ -96,6 +96,12 @@
     }
 }
 
+/// A recorder that keeps nothing.
+fn no_record() -> Recorder {
+    let told = Paths::from_lines("profiles.count=0\nrules.ramp-time=0");
+    Recorder::new("n0", &told, None, Duration::ZERO).expect("a recorder")
+}
+
 /// Hears how submissions end, and says whether they may go.
 #[derive(Default)]
 struct Ear {
@@ -133,7 +139,7 @@
                 hub.hear(&mut Ears {
                     module: self,
                     keeper: &mut Keeper::default(),
-                    recorder: &Recorder::none(),
+                    recorder: &no_record(),
                     now: Duration::ZERO,
                 });
                 futures_lite::future::yield_now().await;
@@ -241,7 +247,7 @@
     let own = "127.0.0.1:1".to_owned();
     let places = ["PEER_LISTEN", "LISTEN", "DISCOVERY", "PLATFORM", "PEER"].map(|name| (name, own.clone()));
     let text = start.with(&[&places[..], &[("KNOWN", entries("1"))]].concat());
-    let told = crate::told::read(text.as_bytes()).expect("a start file");
+    let told = lilacgate_agent::told::read(text.as_bytes()).expect("a start file");
     assert_eq!(told.peers.len(), agents);
     let mut brain = lilacgate_start::instance(told.seed, &told.settings).expect("a module").brain;
     let hub = Hub::new(Duration::ZERO);
@@ -249,7 +255,9 @@
     let most = told.memory / 16;
     let discovery =
         Discovery::new(hub.clone(), links, told.discovery, &told.settings, most).expect("discovery");
-    discovery.told(crate::told::field(&told.file, "known").expect("a list"), true).expect("it can be used");
+    discovery
+        .told(lilacgate_agent::told::field(&told.file, "known").expect("a list"), true)
+        .expect("it can be used");
     // The same list again, under another build, with each field on a line of its own.
     let list =
         format!("{{\"version\":9,\"full\":true,\"servers\":[{}]}}", entries("2")).replace(',', ",\n    ");
@@ -269,7 +277,7 @@
     brain.round(
         now,
         |module| {
-            let (keeper, recorder) = (&mut Keeper::default(), &Recorder::none());
+            let (keeper, recorder) = (&mut Keeper::default(), &no_record());
             hub.hear(&mut Ears { module, keeper, recorder, now });
             module.stage(Build(2), Stage(3), Course::Released, 1.0, Duration::from_secs(9));
             let expiry = now + Duration::from_secs(9);
