--- a/crates/agent/tests/inside.rs
+++ b/crates/agent/tests/inside.rs
@@ -192,6 +192,32 @@
     }
 }
 
+/// An answer that breaks off at any byte may have run; whole, it counts, though its connection ends or is reset in the same
+/// instant. Nothing is ever taken for never-ran once the last byte is out.
+#[rstest]
+#[case::served("*3\r\n$5\r\nvalue\r\n$-1\r\n$3\r\nu=1\r\n", Ending::Served)]
+#[case::failed("-ERR failed util=0.5\r\n", Ending::Failed)]
+#[case::turned_away("-BUSY\r\n", Ending::TurnedAway)]
+fn an_answer_cut_at_each_byte(
+    #[case] answer: &'static str, #[case] whole: Ending, #[values(false, true)] reset: bool,
+) {
+    for cut in 0..=answer.len() {
+        let (hub, appliances, post) = linked(9);
+        std::thread::spawn(move || {
+            let mut conn = post.accept().expect("a link").0;
+            // What stands unread at the close resets the connection.
+            conn.read_exact(&mut [0; 5][usize::from(reset)..]).expect("the command");
+            conn.write_all(&answer.as_bytes()[..cut]).expect("it is written");
+        });
+        let now = hub.clock.now();
+        let words: Wording = Rc::new(|_| b"hello".to_vec());
+        appliances.submit((TxnId(0), Leg(0)), ApplianceId(1), words, now, now + Duration::from_secs(9));
+        let mut ear = Ear { may_go: true, ..Ear::default() };
+        let want = if cut == answer.len() { whole } else { Ending::Broken };
+        assert_eq!(ear.until_ended(&hub), Some(want), "cut at {cut}");
+    }
+}
+
 /// A probe's answer, and the fields of its report in the module's order, whatever else the report holds.
 #[rstest]
 #[case::report("$28\r\nutil=0.61,queue=2,lat_ms=3.5\r\n", Ending::Served, &[3.5, 0.61])]
