A link rests for as long as an answer may be late, not for a tick alone

Lines: `Appliances::new`, `rest: tick`; `idle_link` takes a link again once it has rested.

What is open: an answer later than the rest, on a link in use, is still taken for the next one's.

--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -78,7 +78,8 @@
     /// In which time an answer must be whole, once begun.
     patience: Duration,
     idle_for: Duration,
-    /// How long a link rests after an answer, so that what belongs to none shows itself before it is used again.
+    /// How long a link rests after an answer, so that what belongs to none shows itself before it is used again: as long
+    /// as an answer may be late on its way.
     rest: Duration,
     most_links: usize,
     open: Rc<Cell<usize>>,
@@ -96,7 +97,7 @@
             patience: told.longest_expiry()?,
             // Sooner than the appliance would: what is written to a link that it closes may have run.
             idle_for: told.period("limits.conn-idle")? * 9 / 10,
-            rest: told.period("tick")?,
+            rest: told.period("tick")?.max(told.span("rules.answer-slack")?),
             most_links,
             open,
         }))
--- a/crates/agent/tests/inside.rs
+++ b/crates/agent/tests/inside.rs
@@ -151,7 +151,7 @@
 
 /// So many links, and a stand-in that listens as appliance 1.
 fn linked(links: usize) -> (Rc<Hub>, Rc<Appliances>, TcpListener) {
-    let told = "feedback.names=lat_ms,util\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\ntick=1\n\
+    let told = "feedback.names=lat_ms,util\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\ntick=1\nrules.answer-slack=1\n\
         profiles.count=1\nprofiles.0.give-up=9000000";
     let hub = Hub::new(Duration::ZERO);
     let appliances = Appliances::new(hub.clone(), &Paths::from_lines(told), links).expect("links");
