A law over drawn orders of events: each taken txn has one answer in its time, and nothing after it

Need: the issue asks who answers when a round, an ending or a client's leaving comes in any order.

Ruled out by it: a module that forgets a txn; a last resort beside it would answer nothing that it does not.

--- a/crates/standin/src/decided.rs
+++ b/crates/standin/src/decided.rs
@@ -1,5 +1,5 @@
-//! Owns what a module decided, as far as tests over many modules ask for it: whether it wants the list, and what it
-//! sent where. It carries nothing out, and forgets the rest.
+//! Owns what a module decided, as far as tests over many modules ask for it: whether it wants the list, what it sent
+//! where, what it gave up or called off. It carries nothing out, and forgets the rest.
 use std::time::Duration;
 
 use lilacgate::port::*;
@@ -9,15 +9,24 @@
     /// Whether the list is to be watched.
     pub watches: bool,
     pub sent: Vec<(TxnId, ApplianceId)>,
+    /// What was given up, and whether its client is told that it may come again.
+    pub given_up: Vec<(TxnId, bool)>,
+    pub called_off: Vec<(TxnId, Leg)>,
 }
 
 impl Decisions for Decided {
     fn submit(&mut self, id: TxnId, to: ApplianceId, _: Duration) {
         self.sent.push((id, to));
     }
-    fn decline(&mut self, _: TxnId, _: Duration) {}
-    fn void(&mut self, _: TxnId) {}
-    fn call_off(&mut self, _: TxnId, _: Leg) {}
+    fn decline(&mut self, id: TxnId, _: Duration) {
+        self.given_up.push((id, true));
+    }
+    fn void(&mut self, id: TxnId) {
+        self.given_up.push((id, false));
+    }
+    fn call_off(&mut self, id: TxnId, leg: Leg) {
+        self.called_off.push((id, leg));
+    }
     fn wake(&mut self, _: Duration, _: Ticket) {}
     fn probe(&mut self, _: ApplianceId) {}
     fn free_links(&mut self, _: ApplianceId) {}
--- /dev/null
+++ b/tests/owed.rs
@@ -0,0 +1,214 @@
+//! The law of what is owed, over drawn orders of events: every txn that was taken gets one final answer in its time, or
+//! its client has left; nothing is sent for it after that, nothing sent again that may have run where that is barred, and
+//! never two at once. The agent's part (it serves the first good answer, gives up at the deadline) is played here.
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use lilacgate::brain::Brain;
+use lilacgate::parts::*;
+use lilacgate::port::*;
+use lilacgate_standin::decided::Decided;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const STEP: Duration = Duration::from_millis(5);
+const DAWN: Duration = Duration::from_secs(100);
+/// Until then things happen, and by the end every deadline is over.
+const BUSY: u32 = 400;
+const ALL: u32 = 1200;
+
+fn ms(many: u64) -> Duration {
+    Duration::from_millis(many)
+}
+
+fn terms(repeat: Repeat, remembered: u64) -> Terms {
+    let (sla, expiry) = (ms(300), ms(1500));
+    Terms { repeat, sla, expiry, remembered: ms(remembered), revenue: 1.0, late_share: 0.1 }
+}
+
+/// The four kinds of products; keys are remembered for less than a client waits.
+fn products() -> Vec<Terms> {
+    let keyed = |group| terms(Repeat::Referenced(group), 200);
+    vec![terms(Repeat::InquiryLike, 0), keyed(Group::All), keyed(Group::Zone), terms(Repeat::OnceOnly, 0)]
+}
+
+fn agent(seed: u64, may_call_off: bool) -> Brain {
+    let among = Among { me: AgentId(0), agents: 3, may_tell: false };
+    let calls = Calls { lasts: ms(6000), wait: ms(1200) };
+    Brain::new(
+        seed,
+        Roster::new(Zone(0), None),
+        Thaw::new(0.34, ms(400), 2.5, ms(1000)),
+        Exposure::new(ms(1000), STEP, 3.0, 0.2, false, 1, false),
+        Jury::new(Gate::Single, vec![0.1, 1.0], ms(900), calls, true, among, 4),
+        Desk::new(products(), 3, may_call_off, ms(1000), STEP),
+    )
+}
+
+/// Something that happens at a step.
+#[derive(Clone, Debug)]
+enum Event {
+    /// A txn of a product, with so much time.
+    Txn(u8, u64),
+    /// The client of one of those in hand leaves.
+    Leaves(prop::sample::Index),
+    /// An appliance is listed anew.
+    Listed(u8, Mode, u16, bool),
+    News(u16, Course, f64),
+    /// The agent is told when it ends, so much later.
+    Ends(u64),
+}
+
+fn event() -> impl Strategy<Value = (u32, Event)> {
+    let mode = prop::sample::select(vec![Mode::Ready, Mode::Ready, Mode::Draining, Mode::Gone]);
+    let course = prop::sample::select(vec![Course::OnTrial, Course::GoingBack, Course::Released]);
+    let what = prop_oneof![
+        12 => (0u8..4, 1u64..1500).prop_map(|(product, time)| Event::Txn(product, time)),
+        2 => any::<prop::sample::Index>().prop_map(Event::Leaves),
+        3 => (0u8..6, mode, 1u16..4, any::<bool>()).prop_map(|(i, m, b, cold)| Event::Listed(i, m, b, cold)),
+        1 => (1u16..4, course, 0.0f64..1.0).prop_map(|(build, course, cap)| Event::News(build, course, cap)),
+        1 => (1000u64..3000).prop_map(Event::Ends),
+    ];
+    (0..BUSY, what)
+}
+
+/// How attempts end, in turn: how, and after so many steps, unless the txn's time is over before.
+fn fate() -> impl Strategy<Value = (Ending, u32)> {
+    use Ending::*;
+    let endings = vec![Served, Served, Failed, TurnedAway, TimedOut, Unconnected, Broken, Spoilt, Unsent];
+    (prop::sample::select(endings), 0u32..400)
+}
+
+struct Taken {
+    product: Product,
+    until: Duration,
+    legs: u8,
+    out: bool,
+    /// When the first attempt that may have run was decided, and in which zone.
+    risk: Option<(Duration, Zone)>,
+}
+
+fn line(i: u8, mode: Mode, build: u16, started: Option<Duration>) -> Line {
+    let (appliance, zone) = (ApplianceId(i.into()), Zone(i % 2));
+    let (model, cell, build) = (Model(0), Cell(0), Build(build));
+    Line { appliance, mode, model, weight: 1.0, started, build, cell, zone }
+}
+
+fn plays(events: &[(u32, Event)], fates: &[(Ending, u32)], seed: u64, may_call_off: bool) {
+    let mut brain = agent(seed, may_call_off);
+    let (mut owed, mut done) = (BTreeMap::<TxnId, Taken>::new(), BTreeSet::new());
+    let mut out = Vec::<(Duration, TxnId, Leg, ApplianceId, Ending)>::new();
+    let (mut ids, mut turn, mut ends) = (0, 0, Duration::MAX);
+    for step in 0..ALL {
+        let now = DAWN + STEP * step;
+        let mut decided = Decided::default();
+        let hear = |ears: &mut dyn Hears| {
+            if step == 0 {
+                ears.stage(Build(1), Stage(1), Course::Released, 1.0, Duration::ZERO);
+                ears.roster(Listing::Saved, &mut (0..4).map(|i| line(i, Mode::Ready, 1, None)));
+            }
+            for (_, what) in events.iter().filter(|(at, _)| *at == step) {
+                match what {
+                    Event::Txn(product, time) => {
+                        ids += 1;
+                        let (id, product, expiry) = (TxnId(ids), Product(*product), now + ms(*time));
+                        let (tenant, mark, hint) = (Tenant(0), Some(Mark(7)), Some(ms(50)));
+                        ears.txn(id, Txn { product, tenant, mark, expiry, hint, repeated: false });
+                        let until = expiry.min(ends);
+                        owed.insert(id, Taken { product, until, legs: 0, out: false, risk: None });
+                    }
+                    Event::Leaves(which) if !owed.is_empty() => {
+                        let id = *which.get(&owed.keys().copied().collect::<Vec<_>>());
+                        owed.remove(&id);
+                        done.insert(id);
+                        ears.client_left(id);
+                    }
+                    Event::Leaves(_) => {}
+                    Event::Listed(i, mode, build, cold) => {
+                        let started = cold.then_some(now);
+                        ears.roster(Listing::Changes, &mut [line(*i, *mode, *build, started)].into_iter());
+                    }
+                    Event::News(build, course, cap) => {
+                        ears.stage(Build(*build), Stage(1), *course, *cap, Duration::ZERO);
+                    }
+                    Event::Ends(wait) => {
+                        ends = now + ms(*wait);
+                        ears.ends(ends);
+                        owed.values_mut().for_each(|taken| taken.until = taken.until.min(ends));
+                        for one in out.iter_mut().filter(|one| one.0 >= ends) {
+                            (one.0, one.4) = (ends, Ending::TimedOut);
+                        }
+                    }
+                }
+            }
+            for (_, id, leg, at, ending) in out.extract_if(.., |(due, ..)| *due <= now) {
+                let served = ending == Ending::Served && owed.remove(&id).is_some();
+                if served {
+                    done.insert(id);
+                }
+                let closed = !owed.contains_key(&id);
+                if let Some(taken) = owed.get_mut(&id) {
+                    taken.out = false;
+                    taken.risk = if ending.may_have_run() { taken.risk } else { None };
+                }
+                ears.ended(id, leg, at, ending, STEP, closed);
+            }
+        };
+        brain.round(now, hear, &mut decided);
+        for (id, to) in decided.sent {
+            let taken = owed.get_mut(&id).expect("nothing is sent for what has its answer");
+            assert!(!taken.out, "two attempts at once");
+            let zone = Zone(to.0 as u8 % 2);
+            let risk = taken.risk;
+            match products()[usize::from(taken.product.0)].repeat {
+                Repeat::InquiryLike => {}
+                Repeat::OnceOnly => assert!(risk.is_none(), "it may have run"),
+                Repeat::Referenced(group) => assert!(
+                    risk.is_none_or(|(at, in_zone)| {
+                        now < at + ms(200) && (group == Group::All || zone == in_zone)
+                    }),
+                    "it may have run, and no repeat is known there now"
+                ),
+            }
+            let (ending, after) = fates[turn % fates.len()];
+            turn += 1;
+            let due = now + STEP * after;
+            // An appliance that says nothing is given up in time for the answer.
+            let (due, ending) =
+                if due < taken.until { (due, ending) } else { (taken.until, Ending::TimedOut) };
+            out.push((due, id, Leg(taken.legs), to, ending));
+            (taken.legs, taken.out) = (taken.legs + 1, true);
+            // One that never ran leaves what was before it.
+            taken.risk = risk.or(Some((now, zone)));
+        }
+        for (id, leg) in decided.called_off {
+            out.iter_mut().filter(|one| (one.1, one.2) == (id, leg)).for_each(|one| {
+                (one.0, one.4) = (now, Ending::CalledOff);
+            });
+        }
+        for (id, again) in decided.given_up {
+            let taken = owed.remove(&id).expect("one answer, and no second");
+            done.insert(id);
+            assert!(!taken.out, "an attempt is out");
+            let unsafe_once = products()[usize::from(taken.product.0)].repeat == Repeat::OnceOnly;
+            assert!(
+                !(again && unsafe_once && taken.risk.is_some()),
+                "it may have run, and may not come again"
+            );
+        }
+        let late = owed.values().find(|taken| taken.until + STEP < now);
+        assert!(late.is_none(), "no answer {:?} after its time", late.map(|taken| now - taken.until));
+    }
+    assert_eq!((owed.len(), done.len()), (0, ids as usize));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1000, rng_seed: RngSeed::Fixed(0x0eed), failure_persistence: None, ..Default::default() })]
+    #[test]
+    fn every_txn_has_one_answer(
+        events in prop::collection::vec(event(), 1..120), fates in prop::collection::vec(fate(), 1..20),
+        seed in any::<u64>(), may_call_off in any::<bool>(),
+    ) {
+        plays(&events, &fates, seed, may_call_off);
+    }
+}
