Cold appliances reckon with all that may come to them while a trial's window is full

Change (`Brain::arrange`): the earlier builds' appliances reckon with all that is asked, as a cap and its window send it there at times. Up for 2 s is left out of the law's values for time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -574,14 +574,13 @@
         // When most are barred the trouble is not theirs: then bars mean nothing.
         let sick = fleet.ready().filter(|(_, a)| a.barred()).count();
         self.stock.panic = 2 * sick > fleet.ready().count();
-        let (mut listed, mut out, mut cap) = ([0.0; 2], [0.0; 2], 0.0);
+        let (mut listed, mut out) = ([0.0; 2], [0.0; 2]);
         let (mut seats, mut sums): ([Vec<Seat>; 2], _) = (Default::default(), [0.0; 2]);
         // What is closed to all takes no part, or the share of the rest would be too large.
         let open = |l: &Line| self.exposure.openings.as_ref().is_none_or(|o| o.any(l.build, l.zone));
         for (id, a) in fleet.ready().filter(|(_, a)| !shut(a, now, self.stock.panic) && open(&a.line)) {
             let weight = a.weight() * self.thaw.warmth(a.age(now));
-            let (arm, most) = self.exposure.bound(a.line.build).map_or((0, cap), |(_, most)| (1, most));
-            cap = most.max(cap);
+            let arm = usize::from(self.exposure.bound(a.line.build).is_some());
             listed[arm] += weight;
             out[arm] += a.out.len() as f64;
             let odds = weight / usual(a, now, &self.stock);
@@ -597,8 +596,9 @@
         // only in need. Guards against links that carry a txn or two; harms evenness where few ask much.
         let homes = HOMES * (1.0 + self.stock.asked * self.stock.middle_pace * self.stock.usual_work);
         let turn = f64::from(self.jury.among.me.0) / f64::from(self.jury.among.agents.max(1));
-        // What its cap keeps from the trial goes to the others: to a few cold ones, once a build goes back.
-        for (arm, share) in [1.0 - self.stock.share.min(cap), trial].into_iter().enumerate() {
+        // A cap, or a full window, keeps from the trial what is its share: at times all goes to the others, which
+        // are few and cold where a build goes back.
+        for (arm, share) in [1.0, trial].into_iter().enumerate() {
             let many = seats[arm].len() as f64;
             for (i, seat) in seats[arm].iter_mut().enumerate() {
                 self.roster.fleet.0.entry(seat.id).and_modify(|a| a.part = share * seat.odds / sums[arm]);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -140,24 +140,24 @@
     Line { appliance, mode, model, weight: 4.0, started, build, cell, zone }
 }
 
-/// Plays an agent for so many beats. `list` gives the list at a beat at which one comes; a second build on it is going
-/// back. `asked` is how many txns have come by a beat, and `sent` takes the beat and the appliance of each submission, answered after a tenth of a second.
+/// Where a build stands, and its cap.
+type Told = (Build, Course, f64);
+const ALL_IS_OLD: Told = (Build(1), Course::Released, 1.0);
+
+/// Plays an agent for so many beats. `list` gives the list at a beat at which one comes, and the platform's news with it;
+/// `asked` is how many txns have come by a beat, and `sent` takes the beat and the appliance of each submission, answered after a tenth of a second.
 fn play(
-    mut brain: Brain, beats: u32, list: impl Fn(u32) -> Option<Vec<Line>>, asked: impl Fn(u32) -> u32,
-    mut sent: impl FnMut(u32, ApplianceId),
+    mut brain: Brain, beats: u32, list: impl Fn(u32) -> Option<(Vec<Line>, Told)>,
+    asked: impl Fn(u32) -> u32, mut sent: impl FnMut(u32, ApplianceId),
 ) {
     let (mut out, mut next) = (VecDeque::new(), 0);
     for beat in 0..beats {
         let now = DAWN + BEAT * beat;
         let mut decided = Decided::default();
         let hear = |ears: &mut dyn Hears| {
-            if let Some(lines) = list(beat) {
-                let tried = lines.iter().any(|line| line.build == Build(2));
+            if let Some((lines, news)) = list(beat) {
                 ears.roster(Listing::Whole, &mut lines.into_iter());
-                match tried {
-                    true => ears.stage(Build(2), Stage(1), Course::GoingBack, 0.0, Duration::ZERO),
-                    false => ears.stage(Build(1), Stage(2), Course::Released, 1.0, ASK_WITHIN),
-                }
+                ears.stage(news.0, Stage(2), news.1, news.2, Duration::ZERO);
             }
             let due = out.partition_point(|(at, ..): &(u32, _, _)| at + 10 <= beat);
             for (_, id, to) in out.drain(..due) {
@@ -186,7 +186,7 @@
     let mut met = Vec::new();
     for me in 0..agents {
         let mut links = BTreeSet::new();
-        let list = |beat| (beat == 0).then(|| lines.clone());
+        let list = |beat| (beat == 0).then(|| (lines.clone(), ALL_IS_OLD));
         play(
             agent(me, agents, seed),
             1000,
@@ -202,28 +202,48 @@
     (met, got.into_values().collect())
 }
 
+/// Why all may go only to those that have just started: the others drain; they run a build that goes back and may have
+/// nothing more; or it may have three quarters, of which the time before has used up all.
+#[derive(Clone, Copy)]
+enum Others {
+    Drained,
+    Closed,
+    Full,
+}
+
 /// The most txns that one of the appliances gets in the second after a build was taken back, and all may go only to the
 /// tenth that has just started under the earlier one: from agents that have been up for so long and are asked eight txns a
-/// second, and from then on so many times as many, as clients come again. The others either drain by now, or are still
-/// listed as ready under the build that goes back.
-fn sent_to_cold(agents: u32, appliances: u32, up: Duration, times: u32, drained: bool, seed: u64) -> u32 {
+/// second, and from then on so many times as many, as clients come again.
+fn sent_to_cold(agents: u32, appliances: u32, up: Duration, times: u32, others: Others, seed: u64) -> u32 {
     let last_warm = up.as_millis() as u32 / 10;
-    let cold = |i: u32| match i.is_multiple_of(10) {
-        true => line(i, Mode::Ready, Some(DAWN + up)),
-        false if drained => line(i, Mode::Draining, None),
-        false => Line { build: Build(2), ..line(i, Mode::Ready, None) },
+    let tried = |line| Line { build: Build(2), ..line };
+    let before = |i| match others {
+        Others::Full => tried(line(i, Mode::Ready, None)),
+        _ => line(i, Mode::Ready, None),
+    };
+    let after = |i: u32| match others {
+        _ if i.is_multiple_of(10) => line(i, Mode::Ready, Some(DAWN + up)),
+        Others::Drained => line(i, Mode::Draining, None),
+        _ => tried(line(i, Mode::Ready, None)),
+    };
+    let (from, to) = match others {
+        Others::Drained => (ALL_IS_OLD, ALL_IS_OLD),
+        Others::Closed => (ALL_IS_OLD, (Build(2), Course::GoingBack, 0.0)),
+        Others::Full => ((Build(2), Course::OnTrial, 1.0), (Build(2), Course::GoingBack, 0.75)),
     };
     let list = |beat| match beat {
-        0 => Some((0..appliances).map(|i| line(i, Mode::Ready, None)).collect()),
-        _ if beat == last_warm + 1 => Some((0..appliances).map(cold).collect()),
+        0 => Some(((0..appliances).map(before).collect(), from)),
+        _ if beat == last_warm + 1 => Some(((0..appliances).map(after).collect(), to)),
         _ => None,
     };
     let asked = |beat: u32| 8 * (beat + (times - 1) * beat.saturating_sub(last_warm)) / 100;
+    let cold: BTreeSet<_> =
+        (0..appliances).step_by(10).map(|i| line(i, Mode::Ready, None).appliance).collect();
     let mut got = BTreeMap::<ApplianceId, u32>::new();
     for me in 0..agents {
         let beats = last_warm + 101;
         play(agent(me, agents, seed), beats, list, asked, |beat, to| {
-            *got.entry(to).or_default() += u32::from(beat > last_warm);
+            *got.entry(to).or_default() += u32::from(beat > last_warm && cold.contains(&to));
         });
     }
     got.into_values().max().unwrap_or_default()
@@ -233,11 +253,11 @@
 /// know little of their own traffic.
 #[rstest]
 fn no_cold_appliance_falls(
-    #[values(100, 350)] agents: u32, #[values(1, 2, 8)] up: u64, #[values(1, 4)] times: u32,
-    #[values(true, false)] drained: bool,
+    #[values(100, 350)] agents: u32, #[values(1, 8)] up: u64, #[values(1, 4)] times: u32,
+    #[values(Others::Drained, Others::Closed, Others::Full)] others: Others,
 ) {
     let appliances = agents / 3;
-    let most = sent_to_cold(agents, appliances, Duration::from_secs(up), times, drained, 1);
+    let most = sent_to_cold(agents, appliances, Duration::from_secs(up), times, others, 1);
     // What they bear is taken for what they can do, of which a cold one has 0.34, and may be sent 2.5 times as much.
     let allowed = 2.5 * 0.34 * f64::from(agents) * 8.0 / f64::from(appliances);
     let falls = allowed + 3.0 * allowed.sqrt() + 3.0;
