As many clients may wait in line as there are places for, not 128

Fault: the standard library listens with a queue of 128. With the agent standing still for a moment (SIGSTOP), the 130th client that comes at once finds no place and tries again a second later ("client 129 finds no place in line: connection timed out", long-line.txt, loopback). Line: `Async::<TcpListener>::bind` in `start`. Change: socket2 sets the queue to the clients' part of `limits.sockets`. The scenario fails without it and passes with it.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,7 +20,8 @@
 pub mod told;
 
 use std::collections::BTreeSet;
-use std::net::TcpListener;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -29,6 +30,7 @@
 use async_signal::{Signal, Signals};
 use clap::Parser;
 use futures_lite::{FutureExt, StreamExt};
+use socket2::{Domain, Socket, Type};
 
 use crate::clients::Clients;
 use crate::discovery::Discovery;
@@ -94,8 +96,7 @@
     let news = desk::news(within("pipeline.news")).ok_or_else(|| unusable("pipeline.news"))?;
     hub.tell(platform::hear(news));
     discovery.told(within("known"), true).ok_or_else(|| unusable("known"))?;
-    let listener =
-        Async::<TcpListener>::bind(told.listen).map_err(|e| format!("listen {}: {e}", told.listen))?;
+    let listener = listen(told.listen, part).map_err(|e| format!("listen {}: {e}", told.listen))?;
     say!("{} listens at {}", told.name, told.listen);
     hub.spawn(discovery.clone().run());
     hub.spawn(platform.desk.clone().run());
@@ -117,6 +118,16 @@
     Ok(())
 }
 
+/// Listens there. As many as there are places for may wait in line while the agent is busy: whom a full line shuts out
+/// tries again only a second later.
+fn listen(at: SocketAddr, line: usize) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(i32::try_from(line).unwrap_or(i32::MAX))?;
+    Async::new(socket.into())
+}
+
 fn told(file: &str) -> Result<told::Told, String> {
     let text = std::fs::read(file).map_err(|fault| format!("the start file {file}: {fault}"))?;
     told::read(&text)
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -21,6 +21,7 @@
 //!     news BUILD STAGE STATE CAP   the platform tells;  news raw BYTES: as it is;  news asked: a new listener came
 //!     vote gets TEXT / answers BYTES / ends   the next call for a vote
 //!     peer sends BYTES / stranger sends BYTES
+//!     line N                       so many clients connect at once, before the agent takes any of them, and stay
 //!     halves N                     so many clients connect, send a part of a command, and stay
 //!     crowd N / disperse           so many clients connect and stay / all of them leave
 //!     later MS                     so much time passes
@@ -257,6 +258,15 @@
                     self.crowd.push(conn);
                 }
             }
+            ("line", _) => {
+                for i in 0..rest.parse().expect("a number") {
+                    // A line that is full answers only to the next try, a second later.
+                    let conn = TcpStream::connect_timeout(&self.listen, Duration::from_millis(900));
+                    let conn = conn.unwrap_or_else(|fault| panic!("client {i} finds no place in line: {fault}"));
+                    conn.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+                    self.crowd.push(BufReader::new(conn));
+                }
+            }
             ("halves", _) => {
                 for _ in 0..rest.parse().expect("a number") {
                     let conn = self.open();
