Whoever reads the log and stands still no longer holds up the agent

Fault: lines went to standard error from the one thread that serves. Lines: `log::Place::say` and the counters in lib.rs, by `eprintln!`. Change: a thread writes; at most 256 lines wait for it, further ones are left out and counted (`log_lines_lost`), and at the end the last ones have 10 ms.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -25,6 +25,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_io::Async;
 use async_signal::{Signal, Signals};
@@ -41,6 +42,9 @@
 /// Descriptors for all but clients and links: output, the reactor, signals, listeners, discovery, the platform.
 const OWN: usize = 32;
 
+/// So long a log's reader may take for the last lines, once all else is over.
+const LAST_WORDS: Duration = Duration::from_millis(10);
+
 /// Routes its clients' txns to appliances of the old and the new build, and votes the new one on or back.
 ///
 /// RELAY_CONFIG names the start file. Signals: USR1 writes the counters, and the releases' state where the operator's
@@ -157,7 +161,8 @@
             self.until_stop().await;
         };
         clients.stop().or(asked_again).await;
-        eprintln!("counters:{}", log::counters());
+        log::write(format!("counters:{}", log::counters()));
+        log::flush(LAST_WORDS);
     }
 
     /// Counters at SIGUSR1; at SIGHUP the start file is read again.
@@ -169,7 +174,7 @@
                     self.releases.reload();
                 }
                 _ => {
-                    eprintln!("counters:{}", log::counters());
+                    log::write(format!("counters:{}", log::counters()));
                     self.releases.write_state();
                 }
             }
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -2,7 +2,10 @@
 //! the counters. It must never block, and nothing may be decided by what it holds.
 use std::fmt::Display;
 use std::io;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Lines that one place may write in a second; the rest is counted, and the count stands in its next line.
@@ -42,13 +45,56 @@
     pub fn say(&self, line: impl Display) {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         match self.may_say(now.as_secs()) {
-            Some(0) => eprintln!("{:.3} {line}", now.as_secs_f64()),
-            Some(left_out) => eprintln!("{:.3} {line} (and {left_out} like it left out)", now.as_secs_f64()),
+            Some(0) => write(format!("{:.3} {line}", now.as_secs_f64())),
+            Some(left_out) => {
+                write(format!("{:.3} {line} (and {left_out} like it left out)", now.as_secs_f64()));
+            }
             None => {}
         }
     }
 }
 
+/// What the thread that writes is given: a line, or word that someone waits until all before is out.
+enum Item {
+    Line(String),
+    Mark(SyncSender<()>),
+}
+
+/// Lines that may wait for whoever reads the log.
+const WAITING: usize = 256;
+static OUT: OnceLock<SyncSender<Item>> = OnceLock::new();
+
+fn out() -> &'static SyncSender<Item> {
+    OUT.get_or_init(|| {
+        let (to, items) = sync_channel(WAITING);
+        // A reader that stands still holds up this thread, and nothing else.
+        thread::spawn(move || {
+            for item in items {
+                match item {
+                    Item::Line(line) => eprintln!("{line}"),
+                    Item::Mark(done) => drop(done.try_send(())),
+                }
+            }
+        });
+        to
+    })
+}
+
+/// Writes a line as soon as the log's reader takes it; while too many wait for that it is left out, and counted.
+pub fn write(line: String) {
+    if out().try_send(Item::Line(line)).is_err() {
+        count(Count::LinesLost);
+    }
+}
+
+/// Waits until all lines are out, and no longer than so.
+pub fn flush(wait: Duration) {
+    let (done, is_done) = sync_channel(1);
+    if out().try_send(Item::Mark(done)).is_ok() {
+        is_done.recv_timeout(wait).ok();
+    }
+}
+
 /// Writes a log line, unless its place has written too many in this second.
 macro_rules! say {
     ($($what:tt)*) => {{
@@ -157,6 +203,7 @@
     Rounds "rounds"
     Calls "calls_queued"
     LateRounds "rounds_late"
+    LinesLost "log_lines_lost"
 }
 
 static COUNTS: [AtomicU64; NAMES.len()] = [const { AtomicU64::new(0) }; NAMES.len()];
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -34,6 +34,7 @@
 //!     files N                      the agent may open so many files
 //!     discovery moves / platform moves   from now on it is another one, elsewhere; the start file says so
 //!     told / told raw BYTES / told nothing   the start file is replaced by one as set, by these bytes, or removed
+//!     unread N                     nobody reads the log while it is asked N times for its counters, and serves on
 //!     signal NAME / counter NAME N / ends CODE / log TEXT
 use std::collections::HashMap;
 use std::io::{BufReader, ErrorKind, Read, Write};
@@ -262,7 +263,8 @@
                 for i in 0..rest.parse().expect("a number") {
                     // A line that is full answers only to the next try, a second later.
                     let conn = TcpStream::connect_timeout(&self.listen, Duration::from_millis(900));
-                    let conn = conn.unwrap_or_else(|fault| panic!("client {i} finds no place in line: {fault}"));
+                    let conn =
+                        conn.unwrap_or_else(|fault| panic!("client {i} finds no place in line: {fault}"));
                     conn.set_read_timeout(Some(PATIENCE)).expect("a time-out");
                     self.crowd.push(BufReader::new(conn));
                 }
@@ -318,6 +320,17 @@
                 from.send_to(&bytes(what), to.expect("where peers listen")).expect("it is sent");
             }
             ("signal", (name, _)) => self.agent().signal(name),
+            ("unread", _) => {
+                let mut conn = self.open();
+                let reading = self.agent().reading.clone();
+                let held = reading.lock().expect("a lock");
+                for _ in 0..rest.parse().expect("a number") {
+                    self.agent().signal("USR1");
+                    conn.get_ref().write_all(b"*1\r\n$4\r\nPING\r\n").expect("it is written");
+                    assert_eq!(resp(&mut conn).as_deref(), Some("+PONG"), "it stands still");
+                }
+                drop(held);
+            }
             ("counter", (name, many)) => {
                 let want = format!(" {name}={many} ");
                 let there = (0..PATIENCE.as_millis() / 50).any(|_| {
--- a/crates/standin/src/agent.rs
+++ b/crates/standin/src/agent.rs
@@ -47,7 +47,8 @@
 pub struct Agent {
     child: Child,
     pub log: Arc<Mutex<String>>,
-    /// Reads its log, up to its end.
+    /// Reads its log, up to its end, while nobody holds this.
+    pub reading: Arc<Mutex<()>>,
     reader: Option<thread::JoinHandle<()>>,
 }
 
@@ -63,14 +64,16 @@
         };
         let mut child = shell.stderr(Stdio::piped()).spawn().expect("the agent starts");
         let (from, log) = (child.stderr.take().expect("its log"), Arc::new(Mutex::new(String::new())));
-        let kept = log.clone();
+        let (kept, reading) = (log.clone(), Arc::new(Mutex::new(())));
+        let reads = reading.clone();
         let reader = thread::spawn(move || {
             let mut from = BufReader::new(from);
             while let Some(said) = line(&mut from) {
+                drop(reads.lock().expect("a lock"));
                 kept.lock().expect("a lock").push_str(&format!("{said}\n"));
             }
         });
-        Agent { child, log, reader: Some(reader) }
+        Agent { child, log, reading, reader: Some(reader) }
     }
 
     /// The program beside the one that runs now, or where `LILACGATE_PROGRAM` says.
