A client whose connection bears one request at a time is no flood

Change: a flood is more than that; a setting of 0 counts as 1. flood.txt and unread-at-the-end.txt expected the answer that came one command sooner: each now reads one +PONG more before the error, as strictly as before.

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -191,7 +191,7 @@
     /// So many connections, the last fifth of them only to be told that there is no room: what waits unaccepted
     /// counts as taken, and would get no answer at all.
     most: usize,
-    /// So many commands may be behind each other on one connection.
+    /// So many answers may be owed on one connection: one at least, as a client keeps its connection.
     most_due: usize,
     most_held: usize,
     most_txns: usize,
@@ -228,7 +228,7 @@
             products: indices.map(named).collect::<Result<_, String>>()?,
             advises: told.num("limits.retry-after")?,
             most,
-            most_due: told.num("limits.streams-per-conn")?,
+            most_due: told.num("limits.streams-per-conn").map(|most: usize| most.max(1))?,
             most_held,
             most_txns: told.num("limits.max-open")?,
             settles: told.period("limits.connect-timeout")?,
@@ -473,7 +473,7 @@
                         counter.say(&format!("-ERR {why}"));
                     }
                     // What is asked one behind another has a bound; the rest is not read.
-                    if counter.due.borrow().len() >= self.most_due {
+                    if counter.due.borrow().len() > self.most_due {
                         count(Count::CommandsRefused);
                         counter.say("-ERR too many commands at once");
                         break End::Flood;
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -161,7 +161,8 @@
     );
     let desk = Desk::new(
         products,
-        pairs.num("limits.max-attempts")?,
+        // An attempt's number is an octet on every wire.
+        pairs.num("limits.max-attempts").map(|most: usize| most.min(u8::MAX.into()))?,
         pairs.num("limits.may-cancel")?,
         if pairs.num("limits.retry-after")? { pairs.span("limits.max-retry-after")? } else { Duration::ZERO },
         tick,
