A command that crosses the end of its connection is left unread, for its client to send again

Change: only noise, and what is behind it, is read and dropped; anything else is looked at and left.

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -417,7 +417,7 @@
             }
         }
         if counter.ending.get() == Some(end) && counter.first.get() > 0 {
-            self.linger(&stream).await;
+            self.linger(&stream, end).await;
         }
         drop(stream);
         self.open.borrow_mut().remove(&serial);
@@ -426,26 +426,35 @@
         say!("client {who} ended: {end}");
     }
 
-    /// Ends the sending side first, and drops what comes until the client has seen it: to close while something
-    /// stands unread would reset the connection, and a reset destroys answers that the client has not read yet.
-    /// It takes no longer than a connection may take to come up, nor beyond the agent's own end.
-    async fn linger(&self, stream: &Async<TcpStream>) {
+    /// Ends the sending side first, and waits until the client has seen it: to close while noise stands unread would
+    /// reset the connection, and a reset destroys answers that the client has not read yet. It takes no longer than a
+    /// connection may take to come up, nor beyond the agent's own end.
+    async fn linger(&self, stream: &Async<TcpStream>, why: End) {
         stream.get_ref().shutdown(Shutdown::Write).ok();
         let over = async {
             self.leaving.rung().await;
             self.hub.clock.until(self.last.get()).await;
             Err(End::Stopping)
         };
-        let seen = async { Err::<(), _>(self.discard(stream).await) };
+        let seen = async { Err::<(), _>(self.rest(stream, why).await) };
         within(self.settles, seen.or(over)).await.ok();
     }
 
-    /// Reads and drops, up to the client's end, or to as many bytes as all clients together may have held.
-    async fn discard(&self, stream: &Async<TcpStream>) -> End {
+    /// What comes on a connection that takes nothing more: its client's end, or else `Flood`. What is noise, or behind
+    /// it, is dropped, up to as many bytes as all clients together may have held. A command is left unread: its client
+    /// has read all its answers, and sends what was not read once more elsewhere.
+    async fn rest(&self, stream: &Async<TcpStream>, why: End) -> End {
         let (mut dropped, mut bytes) = (0, [0; DISCARDED]);
+        let noise = matches!(why, End::Malformed | End::TooLong | End::Flood);
         while dropped < self.most_held {
-            match stream.read_with(|mut from| from.read(&mut bytes)).await {
+            let came = if noise {
+                stream.read_with(|mut from| from.read(&mut bytes)).await
+            } else {
+                stream.peek(&mut bytes[..1]).await
+            };
+            match came {
                 Ok(0) => return End::Closed,
+                Ok(_) if !noise => break,
                 Ok(many) => dropped += many,
                 Err(fault) => return fault.into(),
             }
@@ -494,7 +503,7 @@
         };
         // Nothing more is taken; but a client that goes while it is owed an answer has to be noticed.
         counter.end(why);
-        let gone = self.discard(&stream).await;
+        let gone = self.rest(&stream, why).await;
         if gone != End::Flood && counter.owes() { gone } else { future::pending().await }
     }
 
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -8,7 +8,7 @@
 //!     client N raw BYTES           bytes as they are, with \r \n \xHH and <COUNT*BYTES>
 //!     client N reads ANSWER        one whole answer: $VALUE, -TEXT or +TEXT, to where it ends in *
 //!     client N opens / leaves / ended [MS]   it opens its connection / closes it / finds it closed, so soon
-//!     client N stops / closed      it ends its sending side / finds the agent's side ended, and not reset
+//!     client N stops / closed / reset   it ends its sending side / finds the agent's side ended, and not reset / reset
 //!     NAME gets COMMAND            the next command that any connection brings it; a `*` stands for anything
 //!     NAME gets the end            a connection to it ends, whatever others bring meanwhile
 //!     NAME answers BYTES           on the connection of that command
@@ -189,6 +189,14 @@
             "opens" => {}
             "leaves" => drop(self.clients.remove(name)),
             "stops" => conn.get_ref().shutdown(Shutdown::Write).expect("its side ends"),
+            "reset" => {
+                // Behind the other side's end a reset shows in what is written next.
+                let broken = (0..100).any(|_| {
+                    thread::sleep(Duration::from_millis(10));
+                    conn.get_ref().write_all(b"*").is_err()
+                });
+                assert!(broken, "client {name}'s command was read");
+            }
             "closed" => {
                 assert_eq!(conn.read(&mut [0]).expect("no reset"), 0, "client {name} is still served")
             }
