A scenario of a watch that dies in each way

Silent from its first byte, its head cut, cut amid an indented list, ended behind its last whole message, back with a lower version: each is asked for anew, the list that stood serves meanwhile. A discovery that says nothing by itself is new among the stand-ins.

--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -32,7 +32,7 @@
 //!     service NAME asked|dies|vanishes|raw BYTES|BUILD STAGE STATE   a listener came / its connection breaks / it
 //!                                  stops listening / it tells bytes as they are, or news
 //!     files N                      the agent may open so many files
-//!     discovery moves / platform moves   from now on it is another one, elsewhere; the start file says so
+//!     discovery moves [silent] / platform moves   from now on it is another one, elsewhere; the start file says so
 //!     told / told raw BYTES / told nothing   the start file is replaced by one as set, by these bytes, or removed
 //!     unread N                     nobody reads the log while it is asked N times for its counters, and serves on
 //!     signal NAME / counter NAME N / ends CODE / log TEXT
@@ -285,8 +285,8 @@
                 }
             }
             ("disperse", _) => self.crowd.clear(),
-            ("discovery", _) => {
-                self.discovery = discovery();
+            ("discovery", (_, how)) => {
+                self.discovery = if how == "silent" { post::silent_discovery() } else { discovery() };
                 self.write_told();
             }
             ("platform", _) => {
--- a/crates/standin/src/post.rs
+++ b/crates/standin/src/post.rs
@@ -227,6 +227,11 @@
     Post::new(head, "follow", WATCH, QUIET)
 }
 
+/// One that says nothing by itself, not even that it lives.
+pub fn silent_discovery() -> Post {
+    Post::new(head, "", b"", b"")
+}
+
 /// Listeners and votes come to one address; they are told apart by what they say.
 pub fn platform() -> (Post, Receiver<Said>) {
     let mut platform = Post::new(line, "listen", LISTENS, PING);
