A scenario of a client that goes while the connection for its first attempt comes up

An appliance whose line is full lets the agent's connection come up only once the client has gone and the module has heard of it; then not a byte is on it, and the attempt ends as unsent.

--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -2,6 +2,8 @@
 //! stand-ins on loopback, on free ports. A line is a step; a name that `appliance` gave stands for that appliance:
 //!
 //!     appliance NAME [BUILD]       listens, and is in the list that the agent starts with
+//!     full NAME                    is in that list too, but its line is full: connections come up only once it `takes`
+//!     NAME takes / untouched       it takes what waits in line / has not got a byte on the agent's connection
 //!     set FIELD JSON               another value in the start file, by its path; none takes the field out
 //!     start / refuses TEXT         the agent starts and answers PING / ends with one line that holds TEXT
 //!     client N SENDS               a command on client N's connection, which opens first; d stands for d=30000
@@ -38,7 +40,7 @@
 //!     signal NAME / counter NAME N / ends CODE / log TEXT
 use std::collections::HashMap;
 use std::io::{BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
@@ -52,6 +54,7 @@
 };
 use lilacgate_standin::start::{Start, entry};
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 
 struct Play {
     start: Start,
@@ -66,6 +69,8 @@
     crowd: Vec<BufReader<TcpStream>>,
     /// How many files the agent may open, if that is bounded.
     files: Option<u32>,
+    /// Appliances whose line is full, and who stands in it.
+    full: HashMap<String, (TcpListener, Vec<TcpStream>)>,
     /// Release desks of other services, by name, each with its last listener.
     desks: HashMap<String, (Post, Receiver<Said>, usize)>,
     /// The operator's file, where it has one.
@@ -94,6 +99,7 @@
             clients: HashMap::new(),
             crowd: Vec::new(),
             files: None,
+            full: HashMap::new(),
             desks: HashMap::new(),
             operator: None,
             version: 5,
@@ -243,6 +249,33 @@
                 self.known.push(entry(name, post.at, "x", "ready", build, None));
                 self.appliances.insert(name.into(), post);
             }
+            ("full", _) => {
+                let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+                socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+                socket.listen(1).expect("it listens");
+                let listener = TcpListener::from(socket);
+                let at = listener.local_addr().expect("its address");
+                let brief = Duration::from_millis(200);
+                let fill = || TcpStream::connect_timeout(&at, brief).ok();
+                let line = std::iter::from_fn(fill).take(16).collect::<Vec<_>>();
+                assert!(line.len() < 16, "its line is never full");
+                self.known.push(entry(rest, at, "x", "ready", "1", None));
+                self.full.insert(rest.into(), (listener, line));
+            }
+            (name, ("takes", _)) if self.full.contains_key(name) => {
+                let (listener, line) = self.full.get_mut(name).expect("one whose line is full");
+                for _ in line.drain(..) {
+                    listener.accept().expect("it waits in line");
+                }
+                // The agent's own comes last.
+                line.push(listener.accept().expect("the agent's").0);
+            }
+            (name, ("untouched", _)) => {
+                let conn = &self.full[name].1[0];
+                conn.set_nonblocking(true).expect("it does not wait");
+                let got = conn.peek(&mut [0]).map_err(|fault| fault.kind());
+                assert_eq!(got, Err(ErrorKind::WouldBlock), "it was sent on");
+            }
             ("set", (field, value)) => self.start.set(field, value),
             ("start", _) => {
                 self.spawn();
