--- a/crates/agent/src/appliances.rs
+++ b/crates/agent/src/appliances.rs
@@ -94,7 +94,7 @@
             out,
             gauges: told.names("feedback.names")?,
             connect_within: told.period("limits.connect-timeout")?,
-            patience: told.longest_expiry()?,
+            patience: told.longest_deadline()?,
             // Sooner than the appliance would: what is written to a link that it closes may have run.
             idle_for: told.period("limits.conn-idle")? * 9 / 10,
             rest: told.period("tick")?.max(told.span("rules.answer-slack")?),
--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -25,9 +25,9 @@
 /// A connection that brings no whole command in this time, from its start or from the command's, ends; an idle one may
 /// end after as long.
 const WHOLE: Duration = Duration::from_secs(2);
-/// A planned restart may kill the agent once the longest expiry, counted as this at most, and the time beside it have
+/// A planned restart may kill the agent once the longest deadline, counted as this at most, and the time beside it have
 /// passed since SIGTERM.
-const MOST_EXPIRY: Duration = Duration::from_secs(3);
+const MOST_DEADLINE: Duration = Duration::from_secs(3);
 const LAST: Duration = Duration::from_millis(700);
 /// Of these, the last are for the way out: all txns have their answer, and connections end between requests.
 const WAY_OUT: Duration = LAST.checked_div(4).unwrap();
@@ -232,7 +232,7 @@
             most_held,
             most_txns: told.num("limits.max-open")?,
             settles: told.period("limits.connect-timeout")?,
-            patience: told.longest_expiry()?,
+            patience: told.longest_deadline()?,
             held,
             ids,
             open,
@@ -344,7 +344,7 @@
     /// turns away what comes, answers all that was taken, and ends the connections between requests.
     pub async fn stop(&self) {
         let began = self.hub.clock.now();
-        let last = began + self.patience.min(MOST_EXPIRY) + LAST;
+        let last = began + self.patience.min(MOST_DEADLINE) + LAST;
         self.last.set(last - LOOK);
         self.hub.ends(last - WAY_OUT);
         self.hub.clock.until(last - WAY_OUT).or(self.leaving.rung()).await;
@@ -564,7 +564,7 @@
             tenant: Tenant(0),
             mark: Some(Mark(hasher.finish())).filter(|_| !key.is_empty()),
             // What has no time left is declined by the module.
-            expiry: if self.leaving.has_rung() {
+            deadline: if self.leaving.has_rung() {
                 arrived
             } else {
                 arrived + Duration::from_millis(wait.into())
--- a/crates/agent/src/hub.rs
+++ b/crates/agent/src/hub.rs
@@ -161,7 +161,7 @@
     pub fn take(&self, txn: Txn, wording: Wording, answer: impl FnOnce(Answer) + 'static) -> TxnId {
         count(Count::TxnsTaken);
         let id = TxnId(self.last.replace(self.last.get().wrapping_add(1)));
-        let until = txn.expiry.min(self.ends.get()).saturating_sub(self.slack);
+        let until = txn.deadline.min(self.ends.get()).saturating_sub(self.slack);
         self.owed.borrow_mut().insert(id, Owed { wording, until, legs: 0, answer: Some(Box::new(answer)) });
         self.tell(move |ear| ear.txn(id, txn));
         id
--- a/crates/agent/tests/ends.rs
+++ b/crates/agent/tests/ends.rs
@@ -8,7 +8,7 @@
 use lilacgate_standin::town::{Manners, State, Town, Traffic};
 use rstest::rstest;
 
-/// The longest expiry of a town's settings, and what the platform allows beside it.
+/// The longest deadline of a town's settings, and what the platform allows beside it.
 const MAY_BE_KILLED: Duration = Duration::from_millis(1000 + 700);
 /// What a loaded machine may need beside it.
 const SLACK: Duration = Duration::from_millis(500);
@@ -28,8 +28,8 @@
     if hangs {
         town.change(3, |manners| manners.silent = true);
     }
-    let (pause, expiry) = (Duration::from_millis(pause), Duration::from_millis(1000));
-    town.open(Traffic { clients, pause, expiry });
+    let (pause, deadline) = (Duration::from_millis(pause), Duration::from_millis(1000));
+    town.open(Traffic { clients, pause, deadline });
     for _ in 0..2 {
         town.pass(Duration::from_millis(600));
         let (gone, log) = town.ends_within(MAY_BE_KILLED + SLACK);
--- a/crates/agent/tests/inside.rs
+++ b/crates/agent/tests/inside.rs
@@ -306,9 +306,9 @@
             let (keeper, recorder) = (&mut Keeper::default(), &no_record());
             hub.hear(&mut Ears { module, keeper, recorder, now });
             module.stage(Build(2), Stage(3), Course::Released, 1.0, Duration::from_secs(9));
-            let expiry = now + Duration::from_secs(9);
+            let deadline = now + Duration::from_secs(9);
             let (product, tenant) = (Product(0), Tenant(0));
-            let txn = Txn { product, tenant, mark: None, expiry, hint: None, repeated: false };
+            let txn = Txn { product, tenant, mark: None, deadline, hint: None, repeated: false };
             (0..10).for_each(|id| module.txn(TxnId(id), txn));
         },
         &mut out,
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -196,7 +196,7 @@
                 product: product(r, 14, named.0)?,
                 tenant: r.tenant(15),
                 mark: Some(r.u64(6)).filter(|&m| m != 0).map(lilacgate::port::Mark),
-                expiry: r.span64(17),
+                deadline: r.span64(17),
                 hint: (bits & 1 != 0).then(|| r.span(25)),
                 repeated: bits & 2 != 0,
             };
--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -68,7 +68,7 @@
 struct Open {
     kind: Kind,
     sent: Duration,
-    expiry: Duration,
+    deadline: Duration,
     answers: Vec<(Duration, Final)>,
     /// Where submissions are out now, and how many have come whole.
     out: BTreeSet<usize>,
@@ -101,13 +101,13 @@
     for Event { at, seen } in events {
         let at = *at;
         match seen {
-            Seen::Sent { id, kind, expiry } => {
+            Seen::Sent { id, kind, deadline } => {
                 taken.push(at);
                 let (answers, out) = Default::default();
                 let open = Open {
                     kind: *kind,
                     sent: at,
-                    expiry: *expiry,
+                    deadline: *deadline,
                     answers,
                     out,
                     got: 0,
@@ -212,7 +212,7 @@
     }
     found.txns = txns.len();
     for (id, open) in &txns {
-        let last = open.sent + open.expiry + terms.slack;
+        let last = open.sent + open.deadline + terms.slack;
         match open.answers[..] {
             [(at, how)] if at <= last && how != Final::Lost => match how {
                 Final::Settled => found.settled += 1,
--- a/crates/standin/src/days.rs
+++ b/crates/standin/src/days.rs
@@ -128,7 +128,7 @@
         self.town.order(&text);
         self.up()?;
         let traffic =
-            Traffic { clients: 10, pause: Duration::from_millis(16), expiry: Duration::from_millis(1000) };
+            Traffic { clients: 10, pause: Duration::from_millis(16), deadline: Duration::from_millis(1000) };
         self.town.open(traffic);
         Ok(())
     }
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -126,7 +126,11 @@
         println!("the agent does not come up");
         return false;
     }
-    town.open(Traffic { clients: 10, pause: Duration::from_millis(25), expiry: Duration::from_millis(1000) });
+    town.open(Traffic {
+        clients: 10,
+        pause: Duration::from_millis(25),
+        deadline: Duration::from_millis(1000),
+    });
     let mut show = Show { town, old, new: Vec::new() };
     show.town.pass(Duration::from_millis(800));
 
--- a/crates/standin/src/lines.rs
+++ b/crates/standin/src/lines.rs
@@ -41,7 +41,7 @@
 ];
 
 fn traffic() -> Traffic {
-    Traffic { clients: 10, pause: Duration::from_millis(30), expiry: Duration::from_millis(1000) }
+    Traffic { clients: 10, pause: Duration::from_millis(30), deadline: Duration::from_millis(1000) }
 }
 
 fn town(program: &Path, seed: u64, timeline: &str) -> Option<Town> {
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -27,7 +27,7 @@
     Sent {
         id: u32,
         kind: Kind,
-        expiry: Duration,
+        deadline: Duration,
     },
     Answered {
         id: u32,
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -306,7 +306,7 @@
     /// The mean time between a client's txns.
     pub pause: Duration,
     /// How long a client waits.
-    pub expiry: Duration,
+    pub deadline: Duration,
 }
 
 pub struct Town {
@@ -631,7 +631,7 @@
             let open = conn.take().or_else(|| {
                 let conn = TcpStream::connect(self.to).ok()?;
                 conn.set_nodelay(true).ok();
-                conn.set_read_timeout(Some(self.traffic.expiry + Duration::from_millis(300))).ok()?;
+                conn.set_read_timeout(Some(self.traffic.deadline + Duration::from_millis(300))).ok()?;
                 Some(BufReader::new(conn))
             });
             let Some(mut open) = open else { continue };
@@ -657,9 +657,9 @@
         };
         let (name, key) = (format!("t{id}"), format!("k{id}"));
         let mark = if kind == Kind::Post { format!(",k={key}") } else { String::new() };
-        let pairs = format!("c={product},d={}{mark}", self.traffic.expiry.as_millis());
+        let pairs = format!("c={product},d={}{mark}", self.traffic.deadline.as_millis());
         let words = command(&[verb, &key, &name, &pairs]);
-        self.record.put(Seen::Sent { id, kind, expiry: self.traffic.expiry });
+        self.record.put(Seen::Sent { id, kind, deadline: self.traffic.deadline });
         let how = match answer(conn, &words) {
             Said::Text(text) if text.starts_with('$') => Final::Settled,
             Said::Text(text) if text.starts_with("-BUSY") => Final::Declined,
--- a/crates/standin/tests/check.rs
+++ b/crates/standin/tests/check.rs
@@ -15,7 +15,7 @@
 }
 
 fn sent(id: u32, kind: Kind) -> Seen {
-    Seen::Sent { id, kind, expiry: ms(1000) }
+    Seen::Sent { id, kind, deadline: ms(1000) }
 }
 
 fn got(id: u32, node: usize, build: u16) -> Seen {
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -77,7 +77,7 @@
     }
 
     /// The longest that a client waits, over all products.
-    pub fn longest_expiry(&self) -> Result<Duration, String> {
+    pub fn longest_deadline(&self) -> Result<Duration, String> {
         let count: u8 = self.num("profiles.count")?;
         (0..count)
             .try_fold(Duration::ZERO, |most, i| Ok(most.max(self.period(&format!("profiles.{i}.give-up"))?)))
@@ -101,7 +101,7 @@
         Ok(Terms {
             repeat,
             sla: self.period(&key("aim"))?,
-            expiry: self.period(&key("give-up"))?,
+            deadline: self.period(&key("give-up"))?,
             remembered: if referenced { self.span(&key("window"))? } else { Duration::ZERO },
             revenue: self.figure(&key("worth"))?,
             late_share: self.figure(&key("late-value"))?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -486,8 +486,8 @@
         let usual = self.stock.middle_pace * h.work.max(self.stock.usual_work);
         let usual = Duration::from_secs_f64(usual.min(15.0));
         // Once the agent is to end, nothing begins of which it would not see the end.
-        let need = if h.txn.expiry == self.desk.ends { usual } else { Duration::ZERO };
-        let left = h.txn.expiry.saturating_sub(now) > need.max(self.desk.tick * 4);
+        let need = if h.txn.deadline == self.desk.ends { usual } else { Duration::ZERO };
+        let left = h.txn.deadline.saturating_sub(now) > need.max(self.desk.tick * 4);
         let sla_left = (h.arrived + h.terms.sla).saturating_sub(now);
         let more = left && h.legs.len() < self.desk.max_submissions && resendable(h, now);
         let waiting = h.out().next().map(|(leg, l)| (leg, l.to, l.sent, l.called_off));
@@ -596,7 +596,7 @@
         // only in need. Guards against links that carry a txn or two; harms evenness where few ask much.
         let homes = HOMES * (1.0 + self.stock.asked * self.stock.middle_pace * self.stock.usual_work);
         let turn = f64::from(self.jury.among.me.0) / f64::from(self.jury.among.agents.max(1));
-        // A cap, or a full window, keeps from the trial what is its share: at times all goes to the others, which
+        // A cap, or a full window, keeps from the trial what is its share: at times all goes to others, which
         // are few and cold where a build goes back.
         for (arm, share) in [1.0, trial].into_iter().enumerate() {
             let many = seats[arm].len() as f64;
--- a/src/ear.rs
+++ b/src/ear.rs
@@ -12,7 +12,7 @@
 impl Hears for Brain {
     fn txn(&mut self, id: TxnId, mut txn: Txn) {
         let now = self.now;
-        txn.expiry = txn.expiry.min(self.desk.ends);
+        txn.deadline = txn.deadline.min(self.desk.ends);
         let Some(&terms) = self.desk.products.get(usize::from(txn.product.0)) else { return };
         let lane = self.exposure.lane(txn.product);
         self.exposure.windows.taken.entry(lane).or_default().push_back(now);
@@ -90,7 +90,7 @@
 
     fn ends(&mut self, last: Duration) {
         self.desk.ends = last;
-        self.desk.held.values_mut().for_each(|h| h.txn.expiry = h.txn.expiry.min(last));
+        self.desk.held.values_mut().for_each(|h| h.txn.deadline = h.txn.deadline.min(last));
     }
 
     fn wrong_answer(&mut self, at: ApplianceId, product: Product, sent_ago: Duration) {
--- a/src/port.rs
+++ b/src/port.rs
@@ -129,7 +129,7 @@
     pub tenant: Tenant,
     pub mark: Option<Mark>,
     /// When the client gives this try up.
-    pub expiry: Duration,
+    pub deadline: Duration,
     /// Rough work on a yardstick core.
     pub hint: Option<Duration>,
     pub repeated: bool,
@@ -142,7 +142,7 @@
     /// An answer inside this time earns the whole revenue.
     pub sla: Duration,
     /// How long a client waits at most, over all its tries.
-    pub expiry: Duration,
+    pub deadline: Duration,
     /// For referenced products: how long repeats are dropped, from the first submission that may have run.
     pub remembered: Duration,
     pub revenue: f64,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -13,7 +13,7 @@
 const READ: Terms = Terms {
     repeat: Repeat::InquiryLike,
     sla: Duration::from_millis(500),
-    expiry: Duration::from_secs(2),
+    deadline: Duration::from_secs(2),
     remembered: Duration::ZERO,
     revenue: 1.0,
     late_share: 0.0,
@@ -165,9 +165,9 @@
             }
             if asked(beat) > next {
                 next += 1;
-                let (product, hint, expiry) = (Product(0), Some(READ.sla / 5), now + READ.expiry);
+                let (product, hint, deadline) = (Product(0), Some(READ.sla / 5), now + READ.deadline);
                 let (tenant, mark, repeated) = (Tenant(0), None, false);
-                ears.txn(TxnId(next), Txn { product, tenant, mark, expiry, hint, repeated });
+                ears.txn(TxnId(next), Txn { product, tenant, mark, deadline, hint, repeated });
             }
         };
         brain.round(now, hear, &mut decided);
--- a/tests/owed.rs
+++ b/tests/owed.rs
@@ -22,8 +22,8 @@
 }
 
 fn terms(repeat: Repeat, remembered: u64) -> Terms {
-    let (sla, expiry) = (ms(300), ms(1500));
-    Terms { repeat, sla, expiry, remembered: ms(remembered), revenue: 1.0, late_share: 0.1 }
+    let (sla, deadline) = (ms(300), ms(1500));
+    Terms { repeat, sla, deadline, remembered: ms(remembered), revenue: 1.0, late_share: 0.1 }
 }
 
 /// The four kinds of products; keys are remembered for less than a client waits.
@@ -111,10 +111,10 @@
                 match what {
                     Event::Txn(product, time) => {
                         ids += 1;
-                        let (id, product, expiry) = (TxnId(ids), Product(*product), now + ms(*time));
+                        let (id, product, deadline) = (TxnId(ids), Product(*product), now + ms(*time));
                         let (tenant, mark, hint) = (Tenant(0), Some(Mark(7)), Some(ms(50)));
-                        ears.txn(id, Txn { product, tenant, mark, expiry, hint, repeated: false });
-                        let until = expiry.min(ends);
+                        ears.txn(id, Txn { product, tenant, mark, deadline, hint, repeated: false });
+                        let until = deadline.min(ends);
                         owed.insert(id, Taken { product, until, legs: 0, out: false, risk: None });
                     }
                     Event::Leaves(which) if !owed.is_empty() => {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -3,7 +3,7 @@
 //!     set KEY VALUE                        before the first round, changes what a part is made with
 //!     product KIND SLA [GROUP REMEMBERED]  KIND is inquiry, referenced or once; times in ms
 //!     at MS                                begins a round; the events that follow come in with it
-//!     roster KIND ID:MODE:BUILD[:AGE[:ZONE]] ..   | txn ID PRODUCT [EXPIRY] [MARK]   | left ID
+//!     roster KIND ID:MODE:BUILD[:AGE[:ZONE]] ..   | txn ID PRODUCT [DEADLINE] [MARK]   | left ID
 //!     ended ID/LEG APPLIANCE ENDING TOOK [closed] | stage BUILD STAGE COURSE CAP     | voted ENDING
 //!     ends MS                              the agent ends then
 //!     burst MANY PRODUCT                   so many txns in one round
@@ -159,11 +159,11 @@
         self.brain = Some(brain);
     }
 
-    fn txn(&self, product: &str, expiry: Duration, mark: Option<&&str>) -> Txn {
+    fn txn(&self, product: &str, deadline: Duration, mark: Option<&&str>) -> Txn {
         let product = Product(product.parse().expect("a product"));
         let mark = mark.map(|m| Mark(m.parse().expect("a mark")));
         let hint = Some(Duration::from_millis(50));
-        Txn { product, tenant: Tenant(0), mark, expiry, hint, repeated: false }
+        Txn { product, tenant: Tenant(0), mark, deadline, hint, repeated: false }
     }
 
     fn roster(&mut self, kind: &str, entries: &[&str]) {
@@ -223,8 +223,15 @@
                     _ => Repeat::InquiryLike,
                 };
                 let remembered = group.get(1).map_or(Duration::ZERO, |m| ms(m));
-                let (sla, expiry) = (ms(sla), ms(sla) * 4);
-                self.products.push(Terms { repeat, sla, expiry, remembered, revenue: 1.0, late_share: 0.0 });
+                let (sla, deadline) = (ms(sla), ms(sla) * 4);
+                self.products.push(Terms {
+                    repeat,
+                    sla,
+                    deadline,
+                    remembered,
+                    revenue: 1.0,
+                    late_share: 0.0,
+                });
             }
             ["at", at] => {
                 self.now = ms(at);
@@ -233,8 +240,8 @@
             }
             ["roster", kind, entries @ ..] => self.roster(kind, entries),
             ["txn", id, product, rest @ ..] => {
-                let expiry = rest.first().map_or(self.now + Duration::from_secs(2), |e| ms(e));
-                let txn = self.txn(product, expiry, rest.get(1));
+                let deadline = rest.first().map_or(self.now + Duration::from_secs(2), |e| ms(e));
+                let txn = self.txn(product, deadline, rest.get(1));
                 self.round(|ear| ear.txn(TxnId(id.parse().expect("an id")), txn));
             }
             ["burst", many, product] => {
