On the way out every connection ends, whatever it was to end for before

Change: at the last part of the way out every connection is deaf, whatever the reason (`Counter::is_between`).

--- a/crates/agent/src/clients.rs
+++ b/crates/agent/src/clients.rs
@@ -123,9 +123,8 @@
         };
         let deaf = match self.ending.get() {
             Some(End::Malformed | End::TooLong | End::Flood | End::Silent) => true,
-            Some(End::Crowded) => !self.used.get(),
-            Some(End::Stopping) => self.last.get(),
-            _ => false,
+            Some(End::Crowded) if !self.used.get() => true,
+            _ => self.last.get(),
         };
         self.due.borrow().is_empty() && (deaf || !self.amid.get() && self.stream.upgrade().is_some_and(quiet))
     }
