An agent's last log lines are out before it goes, also on a loaded machine

Change: up to a second for what still waits and another for the last line; all else is over by then, and it takes no longer than the reader does.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -43,7 +43,7 @@
 const OWN: usize = 32;
 
 /// So long a log's reader may take for the last lines, once all else is over.
-const LAST_WORDS: Duration = Duration::from_millis(10);
+const LAST_WORDS: Duration = Duration::from_secs(1);
 
 /// Routes its clients' txns to appliances of the old and the new build, and votes the new one on or back.
 ///
@@ -161,6 +161,8 @@
             self.until_stop().await;
         };
         clients.stop().or(asked_again).await;
+        // Room for the last line first, should others still wait.
+        log::flush(LAST_WORDS);
         log::write(format!("counters:{}", log::counters()));
         log::flush(LAST_WORDS);
     }
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -4,9 +4,9 @@
 use std::io;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::mpsc::{SyncSender, sync_channel};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Lines that one place may write in a second; the rest is counted, and the count stands in its next line.
 const LINES: u64 = 20;
@@ -89,10 +89,17 @@
 
 /// Waits until all lines are out, and no longer than so.
 pub fn flush(wait: Duration) {
+    let last = Instant::now() + wait;
     let (done, is_done) = sync_channel(1);
-    if out().try_send(Item::Mark(done)).is_ok() {
-        is_done.recv_timeout(wait).ok();
+    let mut mark = Item::Mark(done);
+    while let Err(TrySendError::Full(back)) = out().try_send(mark) {
+        if Instant::now() >= last {
+            return;
+        }
+        mark = back;
+        thread::sleep(wait / 1000);
     }
+    is_done.recv_timeout(last.saturating_duration_since(Instant::now())).ok();
 }
 
 /// Writes a log line, unless its place has written too many in this second.
