A machine without a thread to spare does not end the agent at its first log line

`thread::spawn` in the log panics where no thread can be had, which is one cause that would look so. Change: the lines then go out from where they are. Not reproduced; no test makes it.

--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -68,22 +68,26 @@
     OUT.get_or_init(|| {
         let (to, items) = sync_channel(WAITING);
         // A reader that stands still holds up this thread, and nothing else.
-        thread::spawn(move || {
+        let writes = move || {
             for item in items {
                 match item {
                     Item::Line(line) => eprintln!("{line}"),
                     Item::Mark(done) => drop(done.try_send(())),
                 }
             }
-        });
+        };
+        // Where the machine has no thread left, nobody takes the lines: then they go out from where they are.
+        thread::Builder::new().spawn(writes).ok();
         to
     })
 }
 
 /// Writes a line as soon as the log's reader takes it; while too many wait for that it is left out, and counted.
 pub fn write(line: String) {
-    if out().try_send(Item::Line(line)).is_err() {
-        count(Count::LinesLost);
+    match out().try_send(Item::Line(line)) {
+        Err(TrySendError::Disconnected(Item::Line(line))) => eprintln!("{line}"),
+        Err(_) => count(Count::LinesLost),
+        Ok(()) => {}
     }
 }
 
