--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -10,10 +10,12 @@
 //!     client N SENDS               a command on client N's connection, which opens first; d stands for d=30000
 //!     client N raw BYTES           bytes as they are, with \r \n \xHH and <COUNT*BYTES>
 //!     client N reads ANSWER        one whole answer: $VALUE, -TEXT or +TEXT, to where it ends in *
+//!     client N answered-within MS  one whole answer, at most so long after its last command was sent
 //!     client N opens / leaves / ended [MS]   it opens its connection / closes it / finds it closed, so soon
 //!     client N stops / closed / reset   it ends its sending side / finds the agent's side ended, and not reset / reset
 //!     NAME gets COMMAND            the next command that any connection brings it; a `*` stands for anything
 //!     NAME gets the end            a connection to it ends, whatever others bring meanwhile
+//!     NAME told-at-most MS         the last command that it got leaves it at most so much time
 //!     NAME answers BYTES           on the connection of that command
 //!     NAME turns ID                goes back to the connection that brought this one
 //!     NAME ends / vanishes / waits that connection breaks / it stops listening / no command is there
--- a/crates/agent/tests/scenario_player/clients.rs
+++ b/crates/agent/tests/scenario_player/clients.rs
@@ -2,7 +2,7 @@
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lilacgate_test_bed::framing::{encode_command, read_resp};
 use lilacgate_test_bed::scenario_text::{matches_pattern, unescape};
@@ -98,7 +98,18 @@
                     "client {name} is still served"
                 );
             }
-            _ => send_command(connection, what),
+            "answered-within" => {
+                let answer = read_resp(connection).unwrap_or_else(|| "the end".into());
+                let elapsed = self.commands_sent[name].elapsed();
+                assert!(
+                    elapsed <= Duration::from_millis(words.number()),
+                    "client {name} reads {answer:.200} after {elapsed:?}"
+                );
+            }
+            _ => {
+                send_command(connection, what);
+                self.commands_sent.insert(name.into(), Instant::now());
+            }
         }
     }
 }
--- a/crates/agent/tests/scenario_player/endpoints.rs
+++ b/crates/agent/tests/scenario_player/endpoints.rs
@@ -97,6 +97,14 @@
                     "{name} gets {command:.200}"
                 );
             }
+            "told-at-most" => {
+                let told = server.last_message().and_then(time_told);
+                let most = words.number();
+                assert!(
+                    told.is_some_and(|told| told <= most),
+                    "{name} is told {told:?}"
+                );
+            }
             "answers" => server.write(&unescape(words.rest)),
             "ends" => server.close_current(),
             "vanishes" => server.shut_down(),
@@ -110,3 +118,10 @@
         }
     }
 }
+
+/// The time in milliseconds that a command tells its endpoint.
+fn time_told(command: &str) -> Option<u64> {
+    let (_, value) = command.split_once(",d=")?;
+    let end = value.find(|letter: char| !letter.is_ascii_digit());
+    value[..end.unwrap_or(value.len())].parse().ok()
+}
--- a/crates/agent/tests/scenario_player/mod.rs
+++ b/crates/agent/tests/scenario_player/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lilacgate_test_bed::agent_process::AgentProcess;
 use lilacgate_test_bed::loopback_address::{unique_loopback_host, unused_tcp_address};
@@ -93,6 +93,8 @@
     /// A peer that the agent knows, and one that it does not.
     peers: [UdpSocket; 2],
     clients: HashMap<String, BufReader<TcpStream>>,
+    /// When each of them sent its last command.
+    commands_sent: HashMap<String, Instant>,
     /// Clients without a name, which only stay connected.
     other_clients: Vec<BufReader<TcpStream>>,
     /// How many files the agent may open, if that is bounded.
@@ -121,6 +123,7 @@
             services: HashMap::new(),
             peers: [socket(), socket()],
             clients: HashMap::new(),
+            commands_sent: HashMap::new(),
             other_clients: Vec::new(),
             file_limit: None,
             operator_file: None,
--- a/crates/test-bed/src/scripted_server.rs
+++ b/crates/test-bed/src/scripted_server.rs
@@ -129,6 +129,11 @@
         message
     }
 
+    /// The message that the script took last.
+    pub fn last_message(&self) -> Option<&str> {
+        self.taken.last().map(|received| received.message.as_str())
+    }
+
     /// Waits for the end of a connection. Messages of other connections that arrive before it stay for later calls,
     /// since two connections have no common order.
     ///
