Relay: count a datagram before it is sent, so that its receiver finds it counted

Cause: Shared::carry counted after send_to had returned; a receiver on another thread could read the counts before that.

--- a/crates/loopback/src/relay.rs
+++ b/crates/loopback/src/relay.rs
@@ -38,10 +38,16 @@
     }
 
     async fn carry(&self, from: usize, to: usize, datagram: &[u8]) {
+        let counted = [&self.traffic, &self.to_each[to]];
+        // Counted first: its receiver may read the counts as soon as it has it.
+        counted
+            .iter()
+            .for_each(|traffic| traffic.sent(datagram.len()));
         let sent = self.sockets[from].send_to(datagram, self.agents[to]).await;
-        if sent.is_ok() {
-            self.traffic.sent(datagram.len());
-            self.to_each[to].sent(datagram.len());
+        if sent.is_err() {
+            counted
+                .iter()
+                .for_each(|traffic| traffic.not_sent(datagram.len()));
         }
     }
 }
--- a/crates/loopback/src/traffic.rs
+++ b/crates/loopback/src/traffic.rs
@@ -38,6 +38,12 @@
         self.messages_out.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Takes back the count of a message that could not be sent after all.
+    pub fn not_sent(&self, bytes: usize) {
+        self.bytes_out.fetch_sub(bytes as u64, Ordering::Relaxed);
+        self.messages_out.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// The counts so far.
     pub fn counts(&self) -> Counts {
         Counts {
