Requests count from when they may have arrived; the loop's hold-ups are measured

Cause: InputReader took the moment of the read for a request's arrival, so that whatever held the process up made its answer late by as much. The event loop now notes its passes and waits, with a heartbeat every 100 ms; input is dated by the last look at which its socket was empty (the backlog, for a new connection). Deadline, the time told to endpoints and the decision module's latency objective follow from that. A command read 100 ms late whose client has closed is dropped before an attempt. Hold-ups are counted (25, 100, 500 ms, longest) and logged with the longest step.

--- a/crates/agent/src/clients/admission.rs
+++ b/crates/agent/src/clients/admission.rs
@@ -27,7 +27,7 @@
         parts: Vec<Vec<u8>>,
         connection: &Rc<ConnectionState>,
     ) -> Result<(), CommandError> {
-        connection.last_activity.set(arrived);
+        connection.last_activity.set(self.event_loop.clock.now());
         connection.has_received_command.set(true);
         match command::parse(&parts, &self.classes)? {
             Command::Ping if self.upstream.has_ready_endpoint() => {
@@ -88,6 +88,7 @@
             deadline,
             estimated_work: arguments.estimated_work,
             is_retry: arguments.is_retry,
+            age: self.event_loop.clock.now().saturating_sub(arrived),
         }
     }
 
--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Async;
 use futures_lite::{FutureExt, StreamExt, future, pin};
@@ -13,7 +13,10 @@
 use super::{COMMAND_TIMEOUT, Clients};
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, CommandParser};
-use crate::transport::{InputReader, RingBuffer, items, with_timeout};
+use crate::transport::{ArrivalTracker, InputReader, RingBuffer, items, with_timeout};
+
+/// A command that is read so long after it may have come is one that the agent was held up for.
+const READ_LATE: Duration = Duration::from_millis(100);
 
 /// What other tasks can see of an open connection.
 pub(super) struct ConnectionState {
@@ -119,14 +122,20 @@
 
 impl Clients {
     /// Serves a connection up to its end.
-    pub(super) async fn serve(self: Rc<Self>, serial: u64, stream: Async<TcpStream>) {
+    pub(super) async fn serve(
+        self: Rc<Self>,
+        serial: u64,
+        stream: Async<TcpStream>,
+        arrivals: ArrivalTracker,
+    ) {
         stream.get_ref().set_nodelay(true).ok();
         let peer = stream
             .get_ref()
             .peer_addr()
             .map_or_else(|_| "unknown".into(), |address| address.to_string());
         let stream = Rc::new(stream);
-        let reader = InputReader::new(CommandParser::default(), resp::MAX_MESSAGE, COMMAND_TIMEOUT);
+        let reader = InputReader::new(CommandParser::default(), resp::MAX_MESSAGE, COMMAND_TIMEOUT)
+            .with_arrivals(arrivals);
         let connection = Rc::new(ConnectionState::new(
             &stream,
             reader.partial_item_flag(),
@@ -200,6 +209,10 @@
             };
             match next {
                 Some(Ok((arrived, command))) => {
+                    // An attempt for a client that has gone would run for nobody.
+                    if arrived.elapsed() >= READ_LATE && self.is_gone_after(arrived, &stream) {
+                        return ConnectionEnd::Closed;
+                    }
                     let arrived = self.event_loop.clock.time_of(arrived);
                     if let Err(reason) = self.execute_and_reply(arrived, command, connection) {
                         break reason;
@@ -232,6 +245,20 @@
         }
     }
 
+    /// Counts a command that was read late, and returns whether its client has closed its side since.
+    fn is_gone_after(&self, arrived: Instant, stream: &Async<TcpStream>) -> bool {
+        count(Count::RequestsReadLate);
+        let is_gone = matches!(stream.get_ref().peek(&mut [0]), Ok(0));
+        if is_gone {
+            count(Count::RequestsAbandoned);
+        }
+        info!(
+            "request_read_late delay_ms={} client_gone={is_gone}",
+            arrived.elapsed().as_millis()
+        );
+        is_gone
+    }
+
     /// Executes a command. An invalid one gets its error as reply.
     ///
     /// # Errors
--- a/crates/agent/src/clients/listener.rs
+++ b/crates/agent/src/clients/listener.rs
@@ -1,7 +1,9 @@
 //! Accepting connections.
 use std::cell::Cell;
+use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 use async_io::Async;
 use futures_lite::{FutureExt, future, pin};
@@ -9,31 +11,36 @@
 use super::eviction::Eviction;
 use super::{Clients, POLL_INTERVAL};
 use crate::log::{ConnectionEnd, Count, count, info};
-use crate::transport::with_timeout;
+use crate::transport::{ArrivalTracker, with_timeout};
 
 impl Clients {
     /// Accepts connections until the agent drains. What the machine has accepted by then counts as taken: clients that
-    /// still wait in the backlog are let in, to have their requests rejected.
-    pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
+    /// still wait in the backlog are let in, to have their requests rejected. `listening_since` is a time before any
+    /// client could connect.
+    pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, listening_since: Instant) {
+        let phases = self.event_loop.monitor.phases();
+        let mut arrivals = ArrivalTracker::new(phases.clone(), listening_since);
         let last_serial = Cell::new(0);
-        let spawn = |stream: Async<TcpStream>| {
+        // What a new connection brings came no earlier than the connection itself.
+        let spawn = |stream: Async<TcpStream>, earliest_arrival: Instant| {
             count(Count::ClientsAccepted);
             last_serial.set(last_serial.get() + 1);
+            let arrivals = ArrivalTracker::new(phases.clone(), earliest_arrival);
             self.event_loop
-                .spawn(self.clone().serve(last_serial.get(), stream));
+                .spawn(self.clone().serve(last_serial.get(), stream, arrivals));
         };
         let draining = async {
             self.draining.notified().await;
             None
         };
         pin!(draining);
-        while let Some(accepted) = async { Some(listener.accept().await) }
+        while let Some(accepted) = async { Some(accept_next(&listener, &mut arrivals).await) }
             .or(&mut draining)
             .await
         {
             match accepted {
-                Ok((stream, _)) => {
-                    spawn(stream);
+                Ok(stream) => {
+                    spawn(stream, arrivals.earliest());
                     future::yield_now().await;
                 }
                 Err(error) => {
@@ -50,7 +57,7 @@
             .accept()
             .and_then(|(stream, _)| Async::new(stream))
         {
-            spawn(stream);
+            spawn(stream, arrivals.earliest());
         }
         drop(listener);
         self.listener_closed.notify();
@@ -81,3 +88,20 @@
         with_timeout(POLL_INTERVAL, ended).await.ok();
     }
 }
+
+/// Accepts the next connection; it came no earlier than `arrivals` says then.
+async fn accept_next(
+    listener: &Async<TcpListener>,
+    arrivals: &mut ArrivalTracker,
+) -> io::Result<Async<TcpStream>> {
+    loop {
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => return Async::new(stream),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                arrivals.emptied();
+                arrivals.readable(listener).await?;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -19,6 +19,7 @@
 use crate::http_response::{HttpResponse, MAX_LINE_BYTES, ValuesAndHeartbeats};
 use crate::json::Json;
 use crate::log::{ConnectionEnd, Count, count, info};
+use crate::loop_monitor::LoopStep;
 use crate::outbound::EndpointListSource;
 use crate::pacing::{CallEnd, Pacing};
 use crate::transport::{InputReader, RingBuffer, ServiceAddress, connect, items, with_timeout};
@@ -248,7 +249,12 @@
     }
 
     fn receive_from_discovery(&self, message: &Json) -> Result<(), ConnectionEnd> {
-        if self.receive(message, ListOrigin::Discovery).is_some() {
+        let receive = || self.receive(message, ListOrigin::Discovery);
+        let received = self
+            .event_loop
+            .monitor
+            .measure(LoopStep::EndpointList, receive);
+        if received.is_some() {
             return Ok(());
         }
         // What was missed here cannot be known: the full list is fetched next time.
--- a/crates/agent/src/engine_host.rs
+++ b/crates/agent/src/engine_host.rs
@@ -10,6 +10,7 @@
 use crate::dispatcher::{ActionDispatcher, RoundActions, WakeUp};
 use crate::event_loop::Event;
 use crate::log::{Count, count};
+use crate::loop_monitor::LoopStep;
 use crate::release_gate::{EventRouter, ReleaseGateHost};
 
 /// The decision engine, with the release gate in front of it and the dispatcher behind it.
@@ -100,10 +101,14 @@
                 router.on_wake_up(wake_up.timer);
             }
         };
+        let monitored_loop = event_loop.clone();
         let mut actions = RoundActions {
             dispatcher: &mut self.dispatcher,
             now,
         };
-        self.engine.round(now, handle_events, &mut actions);
+        let engine = &mut self.engine;
+        monitored_loop.monitor.measure(LoopStep::Round, || {
+            engine.round(now, handle_events, &mut actions);
+        });
     }
 }
--- a/crates/agent/src/event_loop.rs
+++ b/crates/agent/src/event_loop.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::log::{Count, count};
+use crate::loop_monitor::LoopMonitor;
 use crate::outbound::{AttemptId, EncodedRequest};
 use crate::release_gate::EventRouter;
 use crate::transport::Notifier;
@@ -45,6 +46,8 @@
 pub struct EventLoop {
     /// The time that all tasks go by.
     pub clock: Clock,
+    /// Measures how long the tasks and the process itself hold up all others.
+    pub monitor: LoopMonitor,
     tasks: LocalExecutor<'static>,
     queue_sender: Sender<Event>,
     queue_receiver: Receiver<Event>,
@@ -74,6 +77,7 @@
         let (queue_sender, queue_receiver) = async_channel::unbounded();
         Rc::new(EventLoop {
             clock: Clock::start(),
+            monitor: LoopMonitor::default(),
             tasks: LocalExecutor::new(),
             queue_sender,
             queue_receiver,
@@ -91,7 +95,8 @@
 
     /// Runs all tasks until `main` has ended, and returns its result.
     pub async fn run<T>(&self, main: impl Future<Output = T>) -> T {
-        self.tasks.run(main).await
+        let main = future::or(main, self.monitor.beat());
+        self.monitor.watch(self.tasks.run(main)).await
     }
 
     /// Queues an event for the next round.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod json;
 pub mod lifecycle;
 pub mod log;
+pub mod loop_monitor;
 mod operator_file;
 pub mod outbound;
 pub mod pacing;
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -9,7 +9,7 @@
 mod writer;
 
 pub use connection_end::ConnectionEnd;
-pub use counters::{Count, add, count, counters};
+pub use counters::{Count, add, count, counters, raise_to};
 pub use quoted::Quoted;
 pub(crate) use writer::info;
 pub use writer::{CallSite, flush, write};
--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -82,6 +82,16 @@
     EventsQueued "events_queued"
     /// Rounds that began later than they should.
     LateRounds "late_rounds"
+    /// How often the event loop was held up for 25 ms or more.
+    HoldUps "hold_ups"
+    /// How often it was held up for 100 ms or more.
+    HoldUpsOver100Ms "hold_ups_over_100_ms"
+    /// How often it was held up for 500 ms or more.
+    HoldUpsOver500Ms "hold_ups_over_500_ms"
+    /// The longest time for which it was held up, in milliseconds.
+    LongestHoldUpMs "longest_hold_up_ms"
+    /// Requests that were read 100 ms or more after they may have arrived.
+    RequestsReadLate "requests_read_late"
     /// Log lines that were lost as nobody read them.
     LogLinesLost "log_lines_lost"
 }
@@ -98,6 +108,11 @@
     COUNTS[counter as usize].fetch_add(amount, Relaxed);
 }
 
+/// Raises a counter that shows a greatest value.
+pub fn raise_to(counter: Count, value: u64) {
+    COUNTS[counter as usize].fetch_max(value, Relaxed);
+}
+
 /// All counters on one line: ` name=value` for each.
 pub fn counters() -> String {
     let mut line = String::new();
--- a/crates/agent/src/startup.rs
+++ b/crates/agent/src/startup.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::time::Instant;
 
 use async_io::Async;
 use lilacgate_decision::DecisionEngine;
@@ -94,13 +95,14 @@
         peers,
     };
     components.queue_first_events(&config.file)?;
+    let listening_since = Instant::now();
     let listener = listen_for_clients(&config, max_connections)?;
     components.spawn_control_tasks();
     let now = components.event_loop.clock.now();
     let recorder = Recorder::new(&config.name, &config.settings, timeline, now)?;
     let host = components.engine_host(engine, gate, recorder);
     components.event_loop.spawn(host.run());
-    components.spawn_client_tasks(listener);
+    components.spawn_client_tasks(listener, listening_since);
     let lifecycle = Lifecycle {
         signals,
         path,
@@ -171,10 +173,11 @@
     }
 
     /// Spawns the tasks that serve clients.
-    fn spawn_client_tasks(&self, listener: Async<TcpListener>) {
+    fn spawn_client_tasks(&self, listener: Async<TcpListener>, listening_since: Instant) {
         self.event_loop
             .spawn(self.clients.clone().sweep_idle_connections());
-        self.event_loop.spawn(self.clients.clone().accept(listener));
+        let accept = self.clients.clone().accept(listener, listening_since);
+        self.event_loop.spawn(accept);
     }
 
     /// Connects the decision engine with the parts that carry its decisions out.
--- a/crates/agent/src/transport/input_reader.rs
+++ b/crates/agent/src/transport/input_reader.rs
@@ -9,7 +9,8 @@
 use futures_lite::stream::{self, Stream};
 use futures_lite::{FutureExt, pin};
 
-use super::{RingBuffer, with_timeout};
+use super::ring_buffer::SocketRead;
+use super::{ArrivalTracker, RingBuffer, with_timeout};
 use crate::log::ConnectionEnd;
 
 /// An incremental parser. After an error the stream cannot be parsed any further, and its connection has to end.
@@ -38,9 +39,12 @@
     read_timeout: Duration,
     /// The time limit between two reads within an item, if there is one.
     stall_timeout: Option<Duration>,
-    last_read: Instant,
-    /// When the first byte of the current item was read.
-    item_started: Instant,
+    /// Bounds the arrival of the input, where that matters.
+    arrivals: Option<ArrivalTracker>,
+    /// When the bytes of the last read arrived, at the earliest.
+    last_arrival: Instant,
+    /// When the first byte of the current item arrived, at the earliest.
+    item_arrived: Instant,
     /// Whether bytes were read that have not become an item yet; shared with the owner of the connection.
     has_partial_item: Rc<Cell<bool>>,
 }
@@ -55,8 +59,9 @@
             parser,
             read_timeout,
             stall_timeout: None,
-            last_read: now,
-            item_started: now,
+            arrivals: None,
+            last_arrival: now,
+            item_arrived: now,
             has_partial_item: Rc::default(),
         }
     }
@@ -70,6 +75,15 @@
         }
     }
 
+    /// Takes the time of an item from when it may have arrived; otherwise it is the time of the read.
+    #[must_use]
+    pub fn with_arrivals(self, arrivals: ArrivalTracker) -> Self {
+        InputReader {
+            arrivals: Some(arrivals),
+            ..self
+        }
+    }
+
     /// A flag that says at any time whether bytes were read that have not become an item yet.
     pub fn partial_item_flag(&self) -> Rc<Cell<bool>> {
         self.has_partial_item.clone()
@@ -86,7 +100,7 @@
         stream: &Async<TcpStream>,
     ) -> Result<Option<P::Item>, ConnectionEnd> {
         if self.buffer.is_empty() && self.parser.is_between() {
-            stream.readable().await.map_err(ConnectionEnd::from)?;
+            self.readable(stream).await?;
         }
         with_timeout(self.read_timeout, self.read_item(stream)).await
     }
@@ -98,7 +112,7 @@
         loop {
             while !self.buffer.is_empty() {
                 if self.parser.is_between() {
-                    self.item_started = self.last_read;
+                    self.item_arrived = self.last_arrival;
                 }
                 let (consumed, item) = self.parser.take(self.buffer.front())?;
                 self.buffer.consume(consumed);
@@ -108,24 +122,27 @@
                 }
             }
             self.buffer.shrink_if_empty();
-            if self.read(stream).await? == 0 {
+            if self.read(stream).await?.count == 0 {
                 return Ok(None);
             }
-            self.last_read = Instant::now();
             self.has_partial_item.set(true);
         }
     }
 
+    /// Waits until there is input, or the end of the stream.
+    async fn readable(&mut self, stream: &Async<TcpStream>) -> Result<(), ConnectionEnd> {
+        match &mut self.arrivals {
+            Some(arrivals) if arrivals.is_unchecked() && !is_empty(stream) => return Ok(()),
+            Some(arrivals) => arrivals.readable(stream).await,
+            None => stream.readable().await,
+        }
+        .map_err(ConnectionEnd::from)
+    }
+
     /// Reads what comes next, within the stall timeout if an item has begun.
-    async fn read(&mut self, stream: &Async<TcpStream>) -> Result<usize, ConnectionEnd> {
+    async fn read(&mut self, stream: &Async<TcpStream>) -> Result<SocketRead, ConnectionEnd> {
         let stall_timeout = self.stall_timeout.filter(|_| !self.parser.is_between());
-        let buffer = &mut self.buffer;
-        let read = async {
-            stream
-                .read_with(|socket| buffer.read_from(socket))
-                .await
-                .map_err(ConnectionEnd::from)
-        };
+        let read = self.read_and_date(stream);
         let Some(stall_timeout) = stall_timeout else {
             return read.await;
         };
@@ -137,6 +154,27 @@
         read.or(stalled).await
     }
 
+    /// Reads what comes next, and notes when it may have arrived.
+    async fn read_and_date(
+        &mut self,
+        stream: &Async<TcpStream>,
+    ) -> Result<SocketRead, ConnectionEnd> {
+        let read = loop {
+            match self.buffer.read_from(stream.get_ref()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.arrivals.iter_mut().for_each(ArrivalTracker::emptied);
+                    self.readable(stream).await?;
+                }
+                result => break result.map_err(ConnectionEnd::from)?,
+            }
+        };
+        self.last_arrival = match &mut self.arrivals {
+            Some(arrivals) => arrivals.note_read(read.is_drained),
+            None => Instant::now(),
+        };
+        Ok(read)
+    }
+
     /// Whether an idle connection is still open and has brought nothing that nobody asked for. It reads from the
     /// socket without waiting.
     pub fn is_open_and_empty(&mut self, stream: &Async<TcpStream>) -> bool {
@@ -151,14 +189,20 @@
     }
 }
 
-/// A connection as a stream of items, each with the time at which its first byte was read. It ends after the first
-/// error.
+/// Whether a socket has nothing to be read, not even the end of the stream.
+fn is_empty(stream: &Async<TcpStream>) -> bool {
+    let peeked = stream.get_ref().peek(&mut [0]);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// A connection as a stream of items, each with the earliest time at which its first byte may have arrived. It ends
+/// after the first error.
 pub fn items<P: Parse>(
     stream: Rc<Async<TcpStream>>,
     reader: InputReader<P>,
 ) -> impl Stream<Item = Result<(Instant, P::Item), ConnectionEnd>> {
     stream::try_unfold((stream, reader), async |(stream, mut reader)| {
         let item = reader.next(&stream).await?;
-        Ok(item.map(|item| ((reader.item_started, item), (stream, reader))))
+        Ok(item.map(|item| ((reader.item_arrived, item), (stream, reader))))
     })
 }
--- a/crates/agent/src/transport/ring_buffer.rs
+++ b/crates/agent/src/transport/ring_buffer.rs
@@ -10,6 +10,15 @@
 /// The capacity in bytes that a buffer starts with, and that it may keep while it is empty.
 const IDLE_CAPACITY: usize = 1 << 10;
 
+/// What one read from a socket brought.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SocketRead {
+    /// The bytes that were read, 0 at the end of the stream.
+    pub(super) count: usize,
+    /// Whether the socket had no more than these.
+    pub(super) is_drained: bool,
+}
+
 /// Bytes on their way from or to a socket.
 ///
 /// Reading from a socket never fills it beyond its limit, and no byte is lost. What is appended for sending has the
@@ -56,9 +65,9 @@
         }
     }
 
-    /// Reads what the socket has, as far as there is room; returns 0 at the end of the stream. The buffer doubles only
-    /// once it is full, so that a connection with small messages stays small.
-    pub(super) fn read_from(&mut self, mut socket: &TcpStream) -> io::Result<usize> {
+    /// Reads what the socket has, as far as there is room. The buffer doubles only once it is full, so that a connection
+    /// with small messages stays small.
+    pub(super) fn read_from(&mut self, mut socket: &TcpStream) -> io::Result<SocketRead> {
         let buffered = self.bytes.len();
         let unused = self
             .bytes
@@ -76,7 +85,10 @@
         let result = socket.read(tail);
         let count = *result.as_ref().unwrap_or(&0);
         self.bytes.truncate(buffered + count);
-        result
+        result.map(|count| SocketRead {
+            count,
+            is_drained: count < room,
+        })
     }
 
     /// Writes as much as the socket takes; returns how many bytes that were.
--- a/crates/agent/tests/large_fleets.rs
+++ b/crates/agent/tests/large_fleets.rs
@@ -126,6 +126,7 @@
         deadline: now + time_ahead,
         estimated_work: None,
         is_retry: false,
+        age: Duration::ZERO,
     };
     engine.round(
         now,
--- a/crates/decision/src/engine/event_handling.rs
+++ b/crates/decision/src/engine/event_handling.rs
@@ -43,7 +43,8 @@
             request,
             policy,
             work,
-            arrived_at: now,
+            // The latency objective runs from when the client sent it, not from when the host read it.
+            arrived_at: now.saturating_sub(request.age),
             attempts: Vec::new(),
             possible_execution: None,
             slow_start_draw: RandomDraw::default(),
--- a/crates/decision/src/model/request.rs
+++ b/crates/decision/src/model/request.rs
@@ -73,6 +73,9 @@
     pub estimated_work: Option<Duration>,
     /// Whether the client says that it has sent this before.
     pub is_retry: bool,
+    /// How long ago it came, at the most: its host may have been held up before it was read. Zero where the host
+    /// reports each request as it comes.
+    pub age: Duration,
 }
 
 /// The policy for the requests of one class.
--- a/crates/decision/tests/engine/support/setup.rs
+++ b/crates/decision/tests/engine/support/setup.rs
@@ -96,6 +96,7 @@
         deadline,
         estimated_work: Some(WORK),
         is_retry: false,
+        age: Duration::ZERO,
     }
 }
 
--- a/crates/scale/src/agent/incoming.rs
+++ b/crates/scale/src/agent/incoming.rs
@@ -109,6 +109,7 @@
             deadline: moment.at + Duration::from_micros(GIVE_UP_MICROS),
             estimated_work: Some(work.estimated),
             is_retry: false,
+            age: Duration::ZERO,
         };
         let unanswered = UnansweredRequest {
             arrived: moment.at,
--- a/crates/simulator-adapter/src/wire/event.rs
+++ b/crates/simulator-adapter/src/wire/event.rs
@@ -275,6 +275,7 @@
         estimated_work: has_flag(request::FLAG_WORK_IS_KNOWN)
             .then(|| fields.duration(request::ESTIMATED_WORK)),
         is_retry: has_flag(request::FLAG_RETRY),
+        age: Duration::ZERO,
     }
 }
 
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -111,7 +111,7 @@
     EventKind::Request,
     "Request { id: RequestId(1564119492), request: Request { class: RequestClass(5), tenant: Tenant(1543), \
      idempotency_key: Some(IdempotencyKey(10515970535111920228)), deadline: 8.65225s, \
-     estimated_work: Some(12ms), is_retry: true } }",
+     estimated_work: Some(12ms), is_retry: true, age: 0ns } }",
     1..29
 )]
 #[case::attempt_ended(
