--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -39,6 +39,8 @@
 //!     control-plane NAME           a release control plane of another service
 //!     service NAME requested|dies|vanishes|raw BYTES|BUILD STAGE STATE   a new watch has come / its connection breaks
 //!                                  / it stops listening / it sends bytes as they are, or an update
+//!     faults JSON                  the agent's system calls fail by these rules of `lilacgate-fault-script`
+//!     injected N                   each rule has hit so many calls
 //!     file-limit N                 the agent may open so many files
 //!     discovery moves [silent] / platform moves   from now on it is another one, elsewhere; the start file says so
 //!     start-file / start-file raw BYTES / start-file nothing   it is replaced by one as set, by these bytes, or removed
--- a/crates/agent/tests/scenario_player/agent_process.rs
+++ b/crates/agent/tests/scenario_player/agent_process.rs
@@ -5,7 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
-use lilacgate_test_bed::agent_process::{AgentProcess, wait_for_log};
+use lilacgate_fault_script::script::Script;
+use lilacgate_test_bed::agent_process::{AgentProcess, SpawnOptions, wait_for_log};
 use lilacgate_test_bed::framing::read_resp;
 use lilacgate_test_bed::loopback_address::unused_udp_address;
 use lilacgate_test_bed::scenario_text::unescape;
@@ -18,6 +19,9 @@
 /// How long the agent may take to write its counters before it is asked again.
 const COUNTER_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Seeds the draws of injected faults.
+const FAULT_SEED: u64 = 39;
+
 /// Asks whether the agent is there.
 pub(super) fn ping(connection: &mut BufReader<TcpStream>) {
     connection.get_ref().write_all(PING).expect("it is written");
@@ -39,6 +43,8 @@
             "file-limit" => self.file_limit = Some(words.number()),
             "start" => self.start(),
             "refuses" => self.refuses(words.rest),
+            "faults" => self.set_faults(words.rest),
+            "injected" => self.await_faults(words.number()),
             "signal" => self.agent().signal(words.rest),
             "counter" => self.counter(Words::of(words.rest)),
             "unread-log" => self.unread_log(words.number()),
@@ -64,18 +70,43 @@
         }
     }
 
+    fn set_faults(&mut self, rules: &str) {
+        self.fault_script = Some(Script {
+            seed: FAULT_SEED,
+            counts: self.folder.path().join("fault-counts"),
+            rules: serde_json::from_str(rules).expect("rules of faults"),
+        });
+    }
+
+    /// Waits until each rule has hit so many calls.
+    fn await_faults(&self, least: u64) {
+        let script = self.fault_script.as_ref().expect("a script of faults");
+        let counts = || lilacgate_fault_script::counts::read(&script.counts).expect("the counts");
+        let tries = MAX_WAIT.as_millis() / COUNTER_INTERVAL.as_millis();
+        let is_reached = (0..tries).any(|_| {
+            thread::sleep(COUNTER_INTERVAL);
+            counts().iter().all(|count| *count >= least)
+        });
+        assert!(is_reached, "only {:?} calls were hit", counts());
+    }
+
     fn spawn(&mut self) {
         let peer_address = unused_udp_address(Ipv4Addr::LOCALHOST).to_string();
         self.start_file.text = self.start_file.text.replace("PEER_LISTEN", &peer_address);
         self.write_files();
         let operator_path = self.operator_file.as_ref().map(|_| self.operator_path());
         let program = Path::new(env!("CARGO_BIN_EXE_lilacgate-agent"));
-        let agent = AgentProcess::spawn(
-            program,
-            &self.start_file_path(),
-            operator_path.as_deref(),
-            self.file_limit,
-        );
+        let script_path = self.fault_script.as_ref().map(|script| {
+            let path = self.folder.path().join("faults.json");
+            script.save(&path).expect("the script of faults");
+            path
+        });
+        let options = SpawnOptions {
+            operator_file: operator_path.as_deref(),
+            open_file_limit: self.file_limit,
+            fault_script: script_path.as_deref(),
+        };
+        let agent = AgentProcess::spawn(program, &self.start_file_path(), options);
         self.log = agent.log.clone();
         self.agent = Some(agent);
     }
--- a/crates/agent/tests/scenario_player/mod.rs
+++ b/crates/agent/tests/scenario_player/mod.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use lilacgate_fault_script::script::Script;
 use lilacgate_test_bed::agent_process::AgentProcess;
 use lilacgate_test_bed::loopback_address::{unique_loopback_host, unused_tcp_address};
 use lilacgate_test_bed::scripted_server::{
@@ -99,6 +100,8 @@
     other_clients: Vec<BufReader<TcpStream>>,
     /// How many files the agent may open, if that is bounded.
     file_limit: Option<u32>,
+    /// Which of its system calls fail, if any do.
+    fault_script: Option<Script>,
     /// The operator's file, where there is one.
     operator_file: Option<String>,
     /// Where the agent listens for clients.
@@ -126,6 +129,7 @@
             commands_sent: HashMap::new(),
             other_clients: Vec::new(),
             file_limit: None,
+            fault_script: None,
             operator_file: None,
             listen: unused_tcp_address(unique_loopback_host()),
             folder: tempfile::tempdir().expect("a folder"),
@@ -140,7 +144,7 @@
         match words.first {
             "later" => thread::sleep(Duration::from_millis(words.number())),
             "set" | "start" | "refuses" | "signal" | "counter" | "ends" | "log" | "file-limit"
-            | "unread-log" | "start-file" => self.agent_step(words),
+            | "unread-log" | "start-file" | "faults" | "injected" => self.agent_step(words),
             "client" | "open" | "close-all" | "backlog" | "open-partial" => self.client_step(words),
             "list" | "discovery" => self.discovery_step(words),
             "release" | "vote" | "platform" => self.platform_step(words),
--- /dev/null
+++ b/crates/fault-injection/src/interpose.rs
@@ -0,0 +1,228 @@
+//! The functions that stand in for the C library's. Each asks the injector, and calls the real one.
+//!
+//! # Safety
+//! All of this is unsafe by nature: a function that stands in for one of the C library has that one's contract, raw
+//! pointers included, and finds the real one by its name. Pointers are passed on unchanged; paths alone are read, which
+//! the C library's own contract requires to be valid strings.
+use std::ffi::{CStr, c_char, c_int, c_void};
+use std::mem::transmute_copy;
+use std::sync::atomic::{AtomicPtr, Ordering::Relaxed};
+
+use libc::{clockid_t, mode_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
+
+use crate::injector::{self, Injector, Subject};
+use lilacgate_fault_script::script::{Call, Fault};
+
+const MILLISECONDS_PER_SECOND: i64 = 1_000;
+const NANOSECONDS_PER_MILLISECOND: i64 = 1_000_000;
+
+/// Runs when the library is loaded, before the program itself.
+#[used]
+#[unsafe(link_section = ".init_array")]
+static AT_LOAD: extern "C" fn() = at_load;
+
+extern "C" fn at_load() {
+    injector::start(monotonic_ms());
+}
+
+/// A function of the C library, found at its first use.
+struct Real {
+    name: &'static CStr,
+    address: AtomicPtr<c_void>,
+}
+
+impl Real {
+    const fn new(name: &'static CStr) -> Real {
+        Real {
+            name,
+            address: AtomicPtr::new(std::ptr::null_mut()),
+        }
+    }
+
+    /// The function. `F` has to be its type.
+    unsafe fn get<F: Copy>(&self) -> F {
+        let mut address = self.address.load(Relaxed);
+        if address.is_null() {
+            address = unsafe { libc::dlsym(libc::RTLD_NEXT, self.name.as_ptr()) };
+            if address.is_null() {
+                // Without the real function nothing can go on.
+                std::process::abort();
+            }
+            self.address.store(address, Relaxed);
+        }
+        unsafe { transmute_copy(&address) }
+    }
+}
+
+type ClockGetTime = unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int;
+static REAL_CLOCK_GETTIME: Real = Real::new(c"clock_gettime");
+
+fn monotonic_ms() -> u64 {
+    let mut time = timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    unsafe { REAL_CLOCK_GETTIME.get::<ClockGetTime>()(libc::CLOCK_MONOTONIC, &raw mut time) };
+    (time.tv_sec * MILLISECONDS_PER_SECOND + time.tv_nsec / NANOSECONDS_PER_MILLISECOND) as u64
+}
+
+/// What the injector has for a call; a delay is carried out here.
+fn fault(call: Call, subject: Subject<'_>) -> Option<Fault> {
+    let fault = Injector::get()?.draw(call, subject, monotonic_ms())?;
+    if let Fault::DelayMs(delay) = fault {
+        std::thread::sleep(std::time::Duration::from_millis(delay));
+        return None;
+    }
+    Some(fault)
+}
+
+/// Fails a call with an error number.
+fn fail(error: i32) {
+    unsafe { *libc::__errno_location() = error };
+}
+
+/// How many bytes a call may transfer, or the error number that it fails with.
+fn length_or_error(call: Call, subject: Subject<'_>, length: size_t) -> Result<size_t, i32> {
+    match fault(call, subject) {
+        Some(Fault::Error(error)) => Err(error),
+        Some(Fault::Short) => Ok(length.min(1)),
+        _ => Ok(length),
+    }
+}
+
+/// The error number that a call fails with, if it does.
+fn error(call: Call, subject: Subject<'_>) -> Option<i32> {
+    match fault(call, subject) {
+        Some(Fault::Error(error)) => Some(error),
+        _ => None,
+    }
+}
+
+/// Defines a function that stands in for one of the same name: it fails where `$error` says so, and is passed on else.
+macro_rules! stand_in {
+    ($real:ident, $name:ident($($argument:ident: $kind:ty),*) -> $result:ty, $error:expr) => {
+        static $real: Real = match CStr::from_bytes_with_nul(concat!(stringify!($name), "\0").as_bytes()) {
+            Ok(name) => Real::new(name),
+            Err(_) => panic!("no name"),
+        };
+
+        #[unsafe(no_mangle)]
+        unsafe extern "C" fn $name($($argument: $kind),*) -> $result {
+            if let Some(error) = $error {
+                fail(error);
+                return -1;
+            }
+            unsafe { $real.get::<unsafe extern "C" fn($($kind),*) -> $result>()($($argument),*) }
+        }
+    };
+}
+
+/// Defines a function that stands in for one which transfers bytes; it may come short too.
+macro_rules! stand_in_for_transfer {
+    ($real:ident, $name:ident($file:ident, $buffer:ident: $pointer:ty, $length:ident $(, $more:ident: $kind:ty)*), $call:expr, $subject:expr) => {
+        static $real: Real = match CStr::from_bytes_with_nul(concat!(stringify!($name), "\0").as_bytes()) {
+            Ok(name) => Real::new(name),
+            Err(_) => panic!("no name"),
+        };
+
+        #[unsafe(no_mangle)]
+        unsafe extern "C" fn $name($file: c_int, $buffer: $pointer, $length: size_t $(, $more: $kind)*) -> ssize_t {
+            match length_or_error($call, $subject, $length) {
+                Ok(length) => unsafe {
+                    $real.get::<unsafe extern "C" fn(c_int, $pointer, size_t $(, $kind)*) -> ssize_t>()(
+                        $file, $buffer, length $(, $more)*
+                    )
+                },
+                Err(error) => {
+                    fail(error);
+                    -1
+                }
+            }
+        }
+    };
+}
+
+stand_in!(REAL_ACCEPT4, accept4(file: c_int, address: *mut sockaddr, length: *mut socklen_t, flags: c_int) -> c_int,
+    error(Call::Accept, Subject::Any));
+stand_in!(REAL_SOCKET, socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int, error(Call::Socket, Subject::Any));
+stand_in!(REAL_CONNECT, connect(file: c_int, address: *const sockaddr, length: socklen_t) -> c_int,
+    error(Call::Connect, Subject::Any));
+stand_in!(REAL_FSYNC, fsync(file: c_int) -> c_int, error(Call::Sync, Subject::File(file)));
+stand_in!(REAL_FDATASYNC, fdatasync(file: c_int) -> c_int, error(Call::Sync, Subject::File(file)));
+stand_in!(REAL_RENAME, rename(from: *const c_char, to: *const c_char) -> c_int,
+    error(Call::Rename, Subject::Path(unsafe { text(to) })));
+
+stand_in_for_transfer!(REAL_RECV, recv(file, buffer: *mut c_void, length, flags: c_int), Call::Receive, Subject::Any);
+stand_in_for_transfer!(REAL_WRITE, write(file, buffer: *const c_void, length), Call::Write, Subject::File(file));
+
+static REAL_SEND: Real = Real::new(c"send");
+type Send = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
+
+/// Stands in for a transfer. What may not wait is passed on: it is what signal handlers send with, where nothing may be
+/// locked.
+#[unsafe(no_mangle)]
+unsafe extern "C" fn send(
+    file: c_int,
+    buffer: *const c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    let allowed = if flags & libc::MSG_DONTWAIT == 0 {
+        length_or_error(Call::Send, Subject::Any, length)
+    } else {
+        Ok(length)
+    };
+    match allowed {
+        Ok(length) => unsafe { REAL_SEND.get::<Send>()(file, buffer, length, flags) },
+        Err(error) => {
+            fail(error);
+            -1
+        }
+    }
+}
+
+/// A path as text; empty if it is none.
+unsafe fn text<'a>(path: *const c_char) -> &'a str {
+    unsafe { CStr::from_ptr(path) }.to_str().unwrap_or_default()
+}
+
+type Open = unsafe extern "C" fn(*const c_char, c_int, mode_t) -> c_int;
+static REAL_OPEN64: Real = Real::new(c"open64");
+
+/// Stands in for a function with a variable list of arguments: the third one has its place in any case, and counts only
+/// where the flags ask for it.
+#[unsafe(no_mangle)]
+unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
+    let path_text = unsafe { text(path) };
+    if let Some(error) = error(Call::Open, Subject::Path(path_text)) {
+        fail(error);
+        return -1;
+    }
+    let file = unsafe { REAL_OPEN64.get::<Open>()(path, flags, mode) };
+    if let Some(injector) = Injector::get()
+        && file >= 0
+    {
+        injector.opened(path_text, file);
+    }
+    file
+}
+
+#[unsafe(no_mangle)]
+unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    let result = unsafe { REAL_CLOCK_GETTIME.get::<ClockGetTime>()(clock, time) };
+    if result != 0 || clock != libc::CLOCK_REALTIME {
+        return result;
+    }
+    let Some(injector) = Injector::get() else {
+        return result;
+    };
+    let step = injector.clock_step(monotonic_ms());
+    if let Some(time) = unsafe { time.as_mut() } {
+        let milliseconds = time.tv_nsec / NANOSECONDS_PER_MILLISECOND + step;
+        time.tv_sec += milliseconds.div_euclid(MILLISECONDS_PER_SECOND);
+        time.tv_nsec = milliseconds.rem_euclid(MILLISECONDS_PER_SECOND)
+            * NANOSECONDS_PER_MILLISECOND
+            + time.tv_nsec % NANOSECONDS_PER_MILLISECOND;
+    }
+    result
+}
--- /dev/null
+++ b/crates/fault-script/src/counts.rs
@@ -0,0 +1,28 @@
+//! How often each rule has hit a call, in a file that outlives the process: one number of 8 bytes a rule.
+use std::fs::File;
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+
+/// The size of a count in the file.
+const COUNT_BYTES: usize = size_of::<u64>();
+
+/// Reads the counts, in the order of the rules.
+///
+/// # Errors
+/// The file cannot be read.
+pub fn read(path: &Path) -> io::Result<Vec<u64>> {
+    let bytes = std::fs::read(path)?;
+    let (counts, _) = bytes.as_chunks::<COUNT_BYTES>();
+    Ok(counts
+        .iter()
+        .map(|count| u64::from_le_bytes(*count))
+        .collect())
+}
+
+/// Writes the count of a rule.
+pub fn write(file: &File, rule: usize, count: u64) {
+    let offset = (rule * COUNT_BYTES) as u64;
+    // A count that cannot be written must not disturb the process under test.
+    file.write_at(&count.to_le_bytes(), offset).ok();
+}
--- a/crates/test-bed/src/agent_process.rs
+++ b/crates/test-bed/src/agent_process.rs
@@ -50,6 +50,17 @@
     }
 }
 
+/// What an agent is started with beside its start file.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SpawnOptions<'a> {
+    /// The operator's file, if there is one.
+    pub operator_file: Option<&'a Path>,
+    /// How many files it may open, if that is bounded.
+    pub open_file_limit: Option<u32>,
+    /// The script of the system calls that fail, if any do.
+    pub fault_script: Option<&'a Path>,
+}
+
 /// A running agent. Its process is killed when this is dropped.
 #[derive(Debug)]
 pub struct AgentProcess {
@@ -62,23 +73,28 @@
 }
 
 impl AgentProcess {
-    /// Starts the program with a start file, an operator's file if there is one, and a limit of open files.
+    /// Starts the program with a start file.
     ///
     /// # Panics
-    /// If the process cannot be started.
-    pub fn spawn(
-        program: &Path,
-        start_file: &Path,
-        operator_file: Option<&Path>,
-        open_file_limit: Option<u32>,
-    ) -> AgentProcess {
-        let set_limit =
-            open_file_limit.map_or(String::new(), |files| format!("ulimit -n {files}; "));
+    /// If the process cannot be started, or the library that injects faults is missing where they are wanted.
+    pub fn spawn(program: &Path, start_file: &Path, options: SpawnOptions<'_>) -> AgentProcess {
+        let set_limit = options
+            .open_file_limit
+            .map_or(String::new(), |files| format!("ulimit -n {files}; "));
+        // Loaded into the agent alone, not into the shell.
+        let load_faults = options.fault_script.map_or(String::new(), |script| {
+            let library = lilacgate_fault_script::library_path().expect("the library of faults");
+            format!(
+                "env LD_PRELOAD={} {}={} ",
+                library.display(),
+                lilacgate_fault_script::SCRIPT_VARIABLE,
+                script.display()
+            )
+        });
+        let command = format!("{set_limit}exec {load_faults}{}", program.display());
         let mut shell = Command::new("/bin/sh");
-        shell
-            .args(["-c", &format!("{set_limit}exec {}", program.display())])
-            .env("RELAY_CONFIG", start_file);
-        match operator_file {
+        shell.args(["-c", &command]).env("RELAY_CONFIG", start_file);
+        match options.operator_file {
             Some(file) => shell.env("LILACGATE_OPERATOR", file),
             None => shell.env_remove("LILACGATE_OPERATOR"),
         };
--- a/crates/test-bed/src/test_bed/agent.rs
+++ b/crates/test-bed/src/test_bed/agent.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::TestBed;
-use crate::agent_process::{AgentProcess, wait_for_log};
+use crate::agent_process::{AgentProcess, SpawnOptions, wait_for_log};
 use crate::error::TestBedError;
 use crate::event_log::Event;
 use crate::framing::{encode_command, read_resp};
@@ -101,12 +101,11 @@
         ];
         let start_file = self.file("start.json");
         std::fs::write(&start_file, self.start_file.render(&values))?;
-        self.agent = Some(AgentProcess::spawn(
-            &self.program,
-            &start_file,
+        let options = SpawnOptions {
             operator_file,
-            None,
-        ));
+            ..SpawnOptions::default()
+        };
+        self.agent = Some(AgentProcess::spawn(&self.program, &start_file, options));
         Ok(())
     }
 
