System calls that fail for a moment lose no request, no endpoint and no agent

Change: every read, write, peek, accept and datagram call is made again after EINTR; a lack of memory is waited out.

--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -1,11 +1,8 @@
 //! One client connection: the task that reads its commands and writes its replies.
 use std::cell::Cell;
-use std::io::ErrorKind;
-use std::net::TcpStream;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use async_io::Async;
 use futures_lite::{FutureExt, StreamExt, future, pin};
 
 use super::byte_budget::ByteBudget;
@@ -13,7 +10,9 @@
 use super::{COMMAND_TIMEOUT, Clients};
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, CommandParser};
-use crate::transport::{ArrivalTracker, InputReader, RingBuffer, items, with_timeout};
+use crate::transport::{
+    ArrivalTracker, InputReader, RingBuffer, TcpSocket, has_no_input, items, peek, with_timeout,
+};
 
 /// A command that is read so long after it may have come is one that the agent was held up for.
 const READ_LATE: Duration = Duration::from_millis(100);
@@ -21,7 +20,7 @@
 /// What other tasks can see of an open connection.
 pub(super) struct ConnectionState {
     pub(super) replies: ReplyQueue,
-    stream: Weak<Async<TcpStream>>,
+    stream: Weak<TcpSocket>,
     /// Whether it may have requests in flight; its first request claims that.
     pub(super) has_request_slot: Cell<bool>,
     pub(super) has_received_command: Cell<bool>,
@@ -37,7 +36,7 @@
 
 impl ConnectionState {
     fn new(
-        stream: &Rc<Async<TcpStream>>,
+        stream: &Rc<TcpSocket>,
         has_partial_command: Rc<Cell<bool>>,
         opened: Duration,
         held_bytes: ByteBudget,
@@ -112,20 +111,12 @@
     }
 }
 
-/// Whether nothing is waiting to be read, not even the end of the stream.
-fn has_no_input(stream: &Async<TcpStream>) -> bool {
-    stream
-        .get_ref()
-        .peek(&mut [0])
-        .is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
-}
-
 impl Clients {
     /// Serves a connection up to its end.
     pub(super) async fn serve(
         self: Rc<Self>,
         serial: u64,
-        stream: Async<TcpStream>,
+        stream: TcpSocket,
         arrivals: ArrivalTracker,
     ) {
         stream.get_ref().set_nodelay(true).ok();
@@ -169,7 +160,7 @@
     )]
     fn write_replies(
         &self,
-        stream: &Async<TcpStream>,
+        stream: &TcpSocket,
         connection: &ConnectionState,
     ) -> impl Future<Output = ConnectionEnd> {
         async move {
@@ -192,7 +183,7 @@
     /// Reads and executes commands; returns why the connection ends, unless that is for the replies to decide.
     async fn read_commands(
         &self,
-        stream: Rc<Async<TcpStream>>,
+        stream: Rc<TcpSocket>,
         reader: InputReader<CommandParser>,
         connection: &Rc<ConnectionState>,
     ) -> ConnectionEnd {
@@ -246,9 +237,9 @@
     }
 
     /// Counts a command that was read late, and returns whether its client has closed its side since.
-    fn is_gone_after(&self, arrived: Instant, stream: &Async<TcpStream>) -> bool {
+    fn is_gone_after(&self, arrived: Instant, stream: &TcpSocket) -> bool {
         count(Count::RequestsReadLate);
-        let is_gone = matches!(stream.get_ref().peek(&mut [0]), Ok(0));
+        let is_gone = matches!(peek(stream.get_ref(), &mut [0]), Ok(0));
         if is_gone {
             count(Count::RequestsAbandoned);
         }
--- a/crates/agent/src/clients/lingering_close.rs
+++ b/crates/agent/src/clients/lingering_close.rs
@@ -5,12 +5,11 @@
 use std::io::Read;
 use std::net::{Shutdown, TcpStream};
 
-use async_io::Async;
 use futures_lite::{FutureExt, future};
 
 use super::Clients;
 use crate::log::ConnectionEnd;
-use crate::transport::with_timeout;
+use crate::transport::{TcpSocket, peek, uninterrupted, with_timeout};
 
 /// The most bytes to read at a time where they are discarded.
 const DISCARD_CHUNK: usize = 4 << 10;
@@ -18,7 +17,7 @@
 impl Clients {
     /// Shuts the sending side down, and waits for the client's end: no longer than a connection may take to be
     /// established, nor beyond the agent's own shutdown.
-    pub(super) async fn linger(&self, stream: &Async<TcpStream>, reason: ConnectionEnd) {
+    pub(super) async fn linger(&self, stream: &TcpSocket, reason: ConnectionEnd) {
         stream.get_ref().shutdown(Shutdown::Write).ok();
         let shutdown = async {
             self.draining.notified().await;
@@ -40,7 +39,7 @@
     /// and sends it again elsewhere.
     pub(super) async fn wait_for_client_end(
         &self,
-        stream: &Async<TcpStream>,
+        stream: &TcpSocket,
         reason: ConnectionEnd,
     ) -> ConnectionEnd {
         let discards = matches!(
@@ -52,9 +51,10 @@
         let mut discarded = 0;
         while discarded < self.max_held_bytes {
             let result = if discards {
-                stream.read_with(|mut socket| socket.read(&mut bytes)).await
+                let mut read = |mut socket: &TcpStream| uninterrupted(|| socket.read(&mut bytes));
+                stream.read_with(|socket| read(socket)).await
             } else {
-                stream.peek(&mut bytes).await
+                stream.read_with(|socket| peek(socket, &mut bytes)).await
             };
             match result {
                 Ok(0) => return ConnectionEnd::Closed,
--- a/crates/agent/src/clients/listener.rs
+++ b/crates/agent/src/clients/listener.rs
@@ -1,66 +1,158 @@
-//! Accepting connections.
+//! Accepting connections. What the machine has accepted counts as taken: no failure of a call leaves a client that waits
+//! without an answer for longer than it lasts.
 use std::cell::Cell;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{FutureExt, future, pin};
 
 use super::eviction::Eviction;
 use super::{Clients, POLL_INTERVAL};
-use crate::log::{ConnectionEnd, Count, count, info};
-use crate::transport::{ArrivalTracker, with_timeout};
+use crate::log::{ConnectionEnd, Count, Quoted, count, info};
+use crate::loop_monitor::LoopPhases;
+use crate::transport::{
+    ArrivalTracker, TcpSocket, is_of_one_connection, uninterrupted, with_timeout,
+};
+
+/// A connection of a client that has been accepted.
+struct Accepted {
+    stream: TcpStream,
+    /// What it brings came no earlier than this.
+    earliest_arrival: Instant,
+}
+
+/// What a look at the backlog brought.
+enum BacklogLook {
+    /// A connection.
+    Accepted(TcpStream),
+    /// Nobody waits.
+    Empty,
+    /// This machine lacks the means to accept those who wait.
+    Shortage(io::Error),
+}
+
+/// Looks at the backlog once, without waiting. A connection that broke while it waited is passed over.
+fn look_at_backlog(listener: &TcpListener) -> BacklogLook {
+    loop {
+        match uninterrupted(|| listener.accept()) {
+            Ok((stream, _)) => return BacklogLook::Accepted(stream),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return BacklogLook::Empty,
+            Err(error) if is_of_one_connection(&error) => count(Count::AcceptsFailed),
+            Err(error) => {
+                count(Count::AcceptsFailed);
+                return BacklogLook::Shortage(error);
+            }
+        }
+    }
+}
 
 impl Clients {
-    /// Accepts connections until the agent drains. What the machine has accepted by then counts as taken: clients that
-    /// still wait in the backlog are let in, to have their requests rejected. `listening_since` is a time before any
-    /// client could connect.
+    /// Accepts connections until the agent drains. Clients that still wait in the backlog then are let in, to have their
+    /// requests rejected. `listening_since` is a time before any client could connect.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, listening_since: Instant) {
         let phases = self.event_loop.monitor.phases();
         let mut arrivals = ArrivalTracker::new(phases.clone(), listening_since);
         let last_serial = Cell::new(0);
-        // What a new connection brings came no earlier than the connection itself.
-        let spawn = |stream: Async<TcpStream>, earliest_arrival: Instant| {
-            count(Count::ClientsAccepted);
-            last_serial.set(last_serial.get() + 1);
-            let arrivals = ArrivalTracker::new(phases.clone(), earliest_arrival);
-            self.event_loop
-                .spawn(self.clone().serve(last_serial.get(), stream, arrivals));
-        };
-        let draining = async {
-            self.draining.notified().await;
-            None
-        };
+        let spawn = |accepted: Accepted| self.spawn_serve(accepted, &last_serial, &phases);
+        let draining = self.draining.notified();
         pin!(draining);
-        while let Some(accepted) = async { Some(accept_next(&listener, &mut arrivals).await) }
-            .or(&mut draining)
-            .await
-        {
-            match accepted {
-                Ok(stream) => {
-                    spawn(stream, arrivals.earliest());
+        while !self.draining.is_notified() {
+            match look_at_backlog(listener.get_ref()) {
+                BacklogLook::Accepted(stream) => {
+                    spawn(Accepted {
+                        stream,
+                        earliest_arrival: arrivals.earliest(),
+                    });
                     future::yield_now().await;
                 }
-                Err(error) => {
-                    info!("accept_failed error={}", ConnectionEnd::from(error));
-                    self.evict_idle(Eviction::ForConnection);
-                    self.wait_for_connection_end().await;
+                BacklogLook::Empty => {
+                    arrivals.emptied();
+                    let readable = async {
+                        if let Err(error) = arrivals.readable(&listener).await {
+                            info!("accept_failed error={}", Quoted(error));
+                            Timer::after(POLL_INTERVAL).await;
+                        }
+                    };
+                    readable.or(&mut draining).await;
                 }
+                BacklogLook::Shortage(error) => self.relieve_shortage(error).await,
             }
             self.wait_for_room(&listener).await;
         }
+        self.take_over_backlog(listener, arrivals.earliest(), spawn)
+            .await;
+        self.listener_closed.notify();
+    }
+
+    /// Accepts all who wait, and closes the listener.
+    async fn take_over_backlog(
+        &self,
+        listener: Async<TcpListener>,
+        earliest_arrival: Instant,
+        spawn: impl Fn(Accepted),
+    ) {
         // No await may stand between the last look at the backlog and the close.
-        while let Ok(stream) = listener
-            .get_ref()
-            .accept()
-            .and_then(|(stream, _)| Async::new(stream))
-        {
-            spawn(stream, arrivals.earliest());
+        loop {
+            match look_at_backlog(listener.get_ref()) {
+                BacklogLook::Accepted(stream) => spawn(Accepted {
+                    stream,
+                    earliest_arrival,
+                }),
+                BacklogLook::Empty => break,
+                BacklogLook::Shortage(error) => {
+                    if self.event_loop.clock.now() >= self.linger_deadline.get() {
+                        info!("backlog_lost error={}", ConnectionEnd::from(error));
+                        break;
+                    }
+                    self.relieve_shortage(error).await;
+                }
+            }
         }
-        drop(listener);
-        self.listener_closed.notify();
+    }
+
+    /// Makes room for another connection, or waits for some.
+    async fn relieve_shortage(&self, error: io::Error) {
+        info!("accept_failed error={}", ConnectionEnd::from(error));
+        self.evict_idle(Eviction::ForConnection);
+        self.wait_for_connection_end().await;
+    }
+
+    fn spawn_serve(
+        self: &Rc<Self>,
+        accepted: Accepted,
+        last_serial: &Cell<u64>,
+        phases: &Arc<LoopPhases>,
+    ) {
+        count(Count::ClientsAccepted);
+        last_serial.set(last_serial.get() + 1);
+        let serial = last_serial.get();
+        let arrivals = ArrivalTracker::new(phases.clone(), accepted.earliest_arrival);
+        let clients = self.clone();
+        let stream = Arc::new(accepted.stream);
+        self.event_loop.spawn(async move {
+            let socket = clients.register(stream).await;
+            clients.serve(serial, socket, arrivals).await;
+        });
+    }
+
+    /// Has the event loop watch a connection. It is kept until that succeeds: its client may have sent a request.
+    async fn register(&self, stream: Arc<TcpStream>) -> TcpSocket {
+        self.unwatched.set(self.unwatched.get() + 1);
+        let socket = loop {
+            match Async::new(stream.clone()) {
+                Ok(socket) => break socket,
+                Err(error) => {
+                    info!("accept_failed error={}", ConnectionEnd::from(error));
+                    Timer::after(POLL_INTERVAL).await;
+                }
+            }
+        };
+        self.unwatched.set(self.unwatched.get() - 1);
+        socket
     }
 
     /// Waits until another connection may be open. At the bound, a connection is evicted only once another one waits.
@@ -88,20 +180,3 @@
         with_timeout(POLL_INTERVAL, ended).await.ok();
     }
 }
-
-/// Accepts the next connection; it came no earlier than `arrivals` says then.
-async fn accept_next(
-    listener: &Async<TcpListener>,
-    arrivals: &mut ArrivalTracker,
-) -> io::Result<Async<TcpStream>> {
-    loop {
-        match listener.get_ref().accept() {
-            Ok((stream, _)) => return Async::new(stream),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                arrivals.emptied();
-                arrivals.readable(listener).await?;
-            }
-            Err(error) => return Err(error),
-        }
-    }
-}
--- a/crates/agent/src/clients/shutdown.rs
+++ b/crates/agent/src/clients/shutdown.rs
@@ -35,7 +35,7 @@
         self.draining.notify();
         self.listener_closed.notified().await;
         let closing_started = clock.now();
-        while !self.connections.borrow().is_empty()
+        while (self.unwatched.get() > 0 || !self.connections.borrow().is_empty())
             && clock.now() < deadline + self.longest_deadline
         {
             self.end_connections(closing_started);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod release_gate;
 pub mod release_watch;
 pub mod resp;
+mod signals;
 pub mod start_config;
 pub mod startup;
 pub mod transport;
--- a/crates/agent/src/lifecycle.rs
+++ b/crates/agent/src/lifecycle.rs
@@ -1,11 +1,8 @@
 //! Handles the signals of a running agent: counters on request, reload, and shutdown.
-use std::fmt;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::FutureExt;
 
 use crate::clients::Clients;
 use crate::discovery::Discovery;
@@ -14,50 +11,12 @@
 use crate::log::{self, Quoted, info};
 use crate::operator_file::OperatorFile;
 use crate::platform::Platform;
+use crate::signals::{Command, SignalStream};
 use crate::start_config::{self, StartConfig};
 
 /// How long the reader of the log may take for the last lines, once everything else has ended.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What a signal asks for.
-enum Command {
-    /// SIGUSR1: show the counters, and write state files.
-    ShowState,
-    /// SIGHUP: read the files again.
-    Reload,
-    /// SIGTERM and SIGINT: shut down.
-    Stop,
-}
-
-/// The signals that the agent handles.
-pub(crate) struct SignalStream(Signals);
-
-impl fmt::Debug for SignalStream {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("SignalStream")
-    }
-}
-
-impl SignalStream {
-    /// Takes over the handling of the signals.
-    ///
-    /// # Errors
-    /// The handlers cannot be installed.
-    pub(crate) fn new() -> io::Result<Self> {
-        let handled = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
-        Signals::new(handled).map(SignalStream)
-    }
-
-    /// The next signal; a stream that fails or ends stops the agent.
-    async fn next(&mut self) -> Command {
-        match self.0.next().await {
-            Some(Ok(Signal::Usr1)) => Command::ShowState,
-            Some(Ok(Signal::Hup)) => Command::Reload,
-            _ => Command::Stop,
-        }
-    }
-}
-
 /// Reads the start file at a path.
 ///
 /// # Errors
--- a/crates/agent/src/log/connection_end.rs
+++ b/crates/agent/src/log/connection_end.rs
@@ -2,9 +2,7 @@
 use std::fmt;
 use std::io;
 
-/// The error numbers of Linux for a process or a machine that has no file descriptor left.
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
+use crate::transport::is_shortage;
 
 /// Why a connection ended. What each code means, and what to do, is in `docs/on-call.md`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,11 +89,8 @@
             io::ErrorKind::TimedOut
             | io::ErrorKind::HostUnreachable
             | io::ErrorKind::NetworkUnreachable => ConnectionEnd::Unreachable,
-            // No port is free. The lack of file descriptors has no kind of its own.
-            io::ErrorKind::AddrNotAvailable => ConnectionEnd::ResourceLimit,
-            _ if matches!(error.raw_os_error(), Some(ENFILE | EMFILE)) => {
-                ConnectionEnd::ResourceLimit
-            }
+            // No port, memory or descriptor is free.
+            _ if is_shortage(&error) => ConnectionEnd::ResourceLimit,
             _ => ConnectionEnd::Failed,
         }
     }
--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -16,6 +16,8 @@
 counters! {
     /// Connections of clients that were accepted.
     ClientsAccepted "clients_accepted"
+    /// Calls that failed to accept one.
+    AcceptsFailed "accepts_failed"
     /// Connections of clients that have ended.
     ClientsDisconnected "clients_disconnected"
     /// Requests that were passed to the decision engine.
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -3,17 +3,21 @@
 use std::fmt;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::time::Duration;
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use lilacgate_decision::{AgentId, EventHandler as _};
 
 use crate::error::StartError;
 use crate::event_loop::EventLoop;
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::outbound::PeerSender;
+use crate::transport::uninterrupted;
 
 /// The longest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 256;
+/// How long to wait after a datagram could not be received.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
 
 /// The addresses by which agents reach each other.
 #[derive(Clone, Debug)]
@@ -68,12 +72,16 @@
         // One byte more, to notice a datagram that is too long.
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
+            let receive = |socket: &UdpSocket| uninterrupted(|| socket.recv_from(&mut buffer));
+            match self.socket.read_with(receive).await {
                 Ok((length, sender)) => self.receive(&buffer[..length], sender),
-                Err(error) => info!(
-                    "datagram_receive_failed error={}",
-                    ConnectionEnd::from(error)
-                ),
+                Err(error) => {
+                    info!(
+                        "datagram_receive_failed error={}",
+                        ConnectionEnd::from(error)
+                    );
+                    Timer::after(RECEIVE_PAUSE).await;
+                }
             }
         }
     }
@@ -111,7 +119,7 @@
                 None => info!("datagram_not_sent peer=all bytes={bytes}"),
             };
         };
-        match self.socket.get_ref().send_to(payload, receiver) {
+        match uninterrupted(|| self.socket.get_ref().send_to(payload, receiver)) {
             Ok(_) => count(Count::DatagramsSent),
             Err(error) => info!(
                 "datagram_send_failed address={receiver} error={}",
--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -5,11 +5,10 @@
 //! protocol of another platform would stand beside this module, behind the same traits.
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Async;
 use lilacgate_decision::{Build, EventHandler as _, Outcome, Stage, Vote};
 use lilacgate_start_settings::{Settings, SettingsError};
 
@@ -22,7 +21,7 @@
     MAX_LINE_BYTES, MessageLimit, ReleaseUpdate, ReleaseWatch, ReleaseWatchListener,
     WatchedControlPlane, encode_request,
 };
-use crate::transport::{InputReader, connect, with_timeout};
+use crate::transport::{InputReader, TcpSocket, connect, with_timeout};
 
 /// The id of the request to listen, on the watch's connection; votes are numbered from the next one.
 const FIRST_REQUEST_ID: u64 = 1;
@@ -30,7 +29,7 @@
 /// A connection that votes are sent on.
 struct VoteConnection {
     address: SocketAddr,
-    stream: Async<TcpStream>,
+    stream: TcpSocket,
     intake: InputReader<JsonParser>,
 }
 
--- a/crates/agent/src/startup.rs
+++ b/crates/agent/src/startup.rs
@@ -19,7 +19,7 @@
 use crate::error::{StartError, StartFileError};
 use crate::event_loop::EventLoop;
 use crate::json::Json;
-use crate::lifecycle::{Lifecycle, SignalStream, read_start_file};
+use crate::lifecycle::{Lifecycle, read_start_file};
 use crate::log::{Quoted, info};
 use crate::operator_file::{OperatorFile, OperatorStart};
 use crate::outbound::PeerSender;
@@ -28,6 +28,7 @@
 use crate::recorder::Recorder;
 use crate::release_gate::ReleaseGateHost;
 use crate::release_watch::ReleaseUpdate;
+use crate::signals::SignalStream;
 use crate::start_config::{self, MAX_DESCRIPTORS, RELEASE_UPDATE, SAVED_LIST, StartConfig};
 use crate::upstream::UpstreamPool;
 
--- a/crates/agent/src/transport/input_reader.rs
+++ b/crates/agent/src/transport/input_reader.rs
@@ -1,16 +1,16 @@
 //! The incoming side of a connection: bytes from its socket, cut into items by a parser.
 use std::cell::Cell;
 use std::io;
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::stream::{self, Stream};
 use futures_lite::{FutureExt, pin};
 
 use super::ring_buffer::SocketRead;
-use super::{ArrivalTracker, RingBuffer, with_timeout};
+use super::system_call::{has_no_input, is_shortage, pause_for_shortage};
+use super::{ArrivalTracker, RingBuffer, TcpSocket, with_timeout};
 use crate::log::ConnectionEnd;
 
 /// An incremental parser. After an error the stream cannot be parsed any further, and its connection has to end.
@@ -95,20 +95,14 @@
     ///
     /// [`ConnectionEnd::TimedOut`] or [`ConnectionEnd::Stalled`] for an item that is not completed in time, the parser's
     /// error, or the code of the socket's error.
-    pub async fn next(
-        &mut self,
-        stream: &Async<TcpStream>,
-    ) -> Result<Option<P::Item>, ConnectionEnd> {
+    pub async fn next(&mut self, stream: &TcpSocket) -> Result<Option<P::Item>, ConnectionEnd> {
         if self.buffer.is_empty() && self.parser.is_between() {
             self.readable(stream).await?;
         }
         with_timeout(self.read_timeout, self.read_item(stream)).await
     }
 
-    async fn read_item(
-        &mut self,
-        stream: &Async<TcpStream>,
-    ) -> Result<Option<P::Item>, ConnectionEnd> {
+    async fn read_item(&mut self, stream: &TcpSocket) -> Result<Option<P::Item>, ConnectionEnd> {
         loop {
             while !self.buffer.is_empty() {
                 if self.parser.is_between() {
@@ -130,9 +124,9 @@
     }
 
     /// Waits until there is input, or the end of the stream.
-    async fn readable(&mut self, stream: &Async<TcpStream>) -> Result<(), ConnectionEnd> {
+    async fn readable(&mut self, stream: &TcpSocket) -> Result<(), ConnectionEnd> {
         match &mut self.arrivals {
-            Some(arrivals) if arrivals.is_unchecked() && !is_empty(stream) => return Ok(()),
+            Some(arrivals) if arrivals.is_unchecked() && !has_no_input(stream) => return Ok(()),
             Some(arrivals) => arrivals.readable(stream).await,
             None => stream.readable().await,
         }
@@ -140,7 +134,7 @@
     }
 
     /// Reads what comes next, within the stall timeout if an item has begun.
-    async fn read(&mut self, stream: &Async<TcpStream>) -> Result<SocketRead, ConnectionEnd> {
+    async fn read(&mut self, stream: &TcpSocket) -> Result<SocketRead, ConnectionEnd> {
         let stall_timeout = self.stall_timeout.filter(|_| !self.parser.is_between());
         let read = self.read_and_date(stream);
         let Some(stall_timeout) = stall_timeout else {
@@ -155,16 +149,14 @@
     }
 
     /// Reads what comes next, and notes when it may have arrived.
-    async fn read_and_date(
-        &mut self,
-        stream: &Async<TcpStream>,
-    ) -> Result<SocketRead, ConnectionEnd> {
+    async fn read_and_date(&mut self, stream: &TcpSocket) -> Result<SocketRead, ConnectionEnd> {
         let read = loop {
             match self.buffer.read_from(stream.get_ref()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.arrivals.iter_mut().for_each(ArrivalTracker::emptied);
                     self.readable(stream).await?;
                 }
+                Err(error) if is_shortage(&error) => pause_for_shortage().await,
                 result => break result.map_err(ConnectionEnd::from)?,
             }
         };
@@ -177,7 +169,7 @@
 
     /// Whether an idle connection is still open and has brought nothing that nobody asked for. It reads from the
     /// socket without waiting.
-    pub fn is_open_and_empty(&mut self, stream: &Async<TcpStream>) -> bool {
+    pub fn is_open_and_empty(&mut self, stream: &TcpSocket) -> bool {
         let would_block = |error: &io::Error| error.kind() == io::ErrorKind::WouldBlock;
         self.buffer.is_empty()
             && self.parser.is_between()
@@ -189,16 +181,10 @@
     }
 }
 
-/// Whether a socket has nothing to be read, not even the end of the stream.
-fn is_empty(stream: &Async<TcpStream>) -> bool {
-    let peeked = stream.get_ref().peek(&mut [0]);
-    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// A connection as a stream of items, each with the earliest time at which its first byte may have arrived. It ends
 /// after the first error.
 pub fn items<P: Parse>(
-    stream: Rc<Async<TcpStream>>,
+    stream: Rc<TcpSocket>,
     reader: InputReader<P>,
 ) -> impl Stream<Item = Result<(Instant, P::Item), ConnectionEnd>> {
     stream::try_unfold((stream, reader), async |(stream, mut reader)| {
--- a/crates/agent/src/transport/ring_buffer.rs
+++ b/crates/agent/src/transport/ring_buffer.rs
@@ -3,8 +3,8 @@
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 
-use async_io::Async;
-
+use super::TcpSocket;
+use super::system_call::{is_shortage, pause_for_shortage, uninterrupted};
 use crate::log::ConnectionEnd;
 
 /// The capacity in bytes that a buffer starts with, and that it may keep while it is empty.
@@ -82,7 +82,7 @@
         };
         self.bytes.resize(buffered + room, 0);
         let tail = &mut self.bytes.make_contiguous()[buffered..];
-        let result = socket.read(tail);
+        let result = uninterrupted(|| socket.read(tail));
         let count = *result.as_ref().unwrap_or(&0);
         self.bytes.truncate(buffered + count);
         result.map(|count| SocketRead {
@@ -93,7 +93,7 @@
 
     /// Writes as much as the socket takes; returns how many bytes that were.
     fn write_to(&mut self, mut socket: &TcpStream) -> io::Result<usize> {
-        let count = socket.write(self.front())?;
+        let count = uninterrupted(|| socket.write(self.front()))?;
         self.consume(count);
         Ok(count)
     }
@@ -103,11 +103,13 @@
     /// # Errors
     ///
     /// The code of the socket's error; [`ConnectionEnd::Reset`] if it takes nothing more.
-    pub async fn flush(&mut self, stream: &Async<TcpStream>) -> Result<(), ConnectionEnd> {
+    pub async fn flush(&mut self, stream: &TcpSocket) -> Result<(), ConnectionEnd> {
         while !self.bytes.is_empty() {
-            let written = stream.write_with(|socket| self.write_to(socket)).await;
-            if written.map_err(ConnectionEnd::from)? == 0 {
-                return Err(ConnectionEnd::Reset);
+            match stream.write_with(|socket| self.write_to(socket)).await {
+                Ok(0) => return Err(ConnectionEnd::Reset),
+                Ok(_) => {}
+                Err(error) if is_shortage(&error) => pause_for_shortage().await,
+                Err(error) => return Err(error.into()),
             }
         }
         self.shrink_if_empty();
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -1,15 +1,14 @@
 //! One connection to an endpoint.
 use std::cell::Cell;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Async;
 use lilacgate_decision::{Build, Outcome};
 
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, Resp};
-use crate::transport::{InputReader, RingBuffer};
+use crate::transport::{InputReader, RingBuffer, TcpSocket};
 
 /// The process that an endpoint runs. A connection belongs to one process: the same endpoint with another build, start
 /// time or address is another process, which knows nothing of earlier requests.
@@ -40,7 +39,7 @@
 /// A connection to a process, which is closed by being dropped.
 #[derive(Debug)]
 pub(super) struct Connection {
-    stream: Async<TcpStream>,
+    stream: TcpSocket,
     input: InputReader<resp::ValueParser>,
     output: RingBuffer,
     pub(super) process: EndpointProcess,
@@ -64,7 +63,7 @@
 impl Connection {
     /// A connection that has just been opened. A reply has to be complete `read_timeout` after its first byte.
     pub(super) fn new(
-        stream: Async<TcpStream>,
+        stream: TcpSocket,
         process: EndpointProcess,
         opened: Duration,
         read_timeout: Duration,
