Slow start holds when wall clocks are stepped: what was observed bounds a start's stamp

Cause: the age of an endpoint was the agent's clock, read at its start, less the stamp of another machine's. An agent that starts an hour fast took every cold endpoint for an old one, one an hour slow held each cold for an hour, and endpoints' stamps may be stepped in service. Change: a process that discovery lists for the first time has started since discovery was last heard of; the shortest delay of such news shows how far the clocks are apart, and a delay that cannot be makes it anew. In doubt a process is taken for younger. A saved list is believed but for starts to come.

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -14,7 +14,8 @@
 use lilacgate_decision::{EndpointId, EventHandler as _, ListUpdate};
 use lilacgate_start_settings::{Settings, SettingsError};
 
-use crate::endpoint_list::EndpointListReader;
+use crate::endpoint_list::{EndpointListReader, ListReceipt};
+use crate::endpoint_start_times::Sighting;
 use crate::event_loop::EventLoop;
 use crate::http_response::{HttpResponse, MAX_LINE_BYTES, ValuesAndHeartbeats};
 use crate::json::Json;
@@ -63,6 +64,8 @@
     /// The longest message, in bytes.
     max_message_bytes: usize,
     endpoint_list: RefCell<EndpointListReader>,
+    /// When it last sent anything: the end of what it may have told before.
+    last_heard: Cell<Option<Duration>>,
     /// Whether the decision engine wants the list to be watched.
     watch_sender: Sender<bool>,
     watch_receiver: Receiver<bool>,
@@ -102,6 +105,7 @@
             is_on_request: settings.requests_endpoint_list()?,
             max_message_bytes,
             endpoint_list,
+            last_heard: Cell::default(),
             watch_sender,
             watch_receiver,
             // Whoever answers at all goes on within the time in which a connection comes up.
@@ -117,7 +121,21 @@
             let name = name.to_owned();
             event_loop.enqueue(move |router| router.recorder.endpoint_named(id, &name));
         };
-        let update = self.endpoint_list.borrow_mut().read(message, &mut named)?;
+        let now = event_loop.clock.now();
+        let sighting = match origin {
+            ListOrigin::StartFile => Sighting::Saved,
+            ListOrigin::Discovery => Sighting::Discovery {
+                silence: self.last_heard.get().map(|last| now.saturating_sub(last)),
+            },
+        };
+        let receipt = ListReceipt { now, sighting };
+        let update = self
+            .endpoint_list
+            .borrow_mut()
+            .read(message, receipt, &mut named)?;
+        if origin == ListOrigin::Discovery {
+            self.last_heard.set(Some(now));
+        }
         if update.is_full {
             self.upstream.retain(|id| update.names(*id));
         }
@@ -215,7 +233,7 @@
         let messages = self.call(path).await?;
         pin!(messages);
         loop {
-            let message = next_message(&mut messages).await?;
+            let message = next_message(&mut messages, || self.heard()).await?;
             has_received.set(true);
             self.receive_from_discovery(&message)?;
         }
@@ -225,10 +243,17 @@
     async fn fetch_list(&self) -> Result<(), ConnectionEnd> {
         let messages = self.call(LIST_PATH).await?;
         pin!(messages);
-        let message = next_message(&mut messages).await?;
+        let message = next_message(&mut messages, || {}).await?;
         self.receive_from_discovery(&message)
     }
 
+    /// Notes that a watch is alive: what has changed by now has been told on it.
+    fn heard(&self) {
+        if self.last_heard.get().is_some() {
+            self.last_heard.set(Some(self.event_loop.clock.now()));
+        }
+    }
+
     /// Sends a request; returns the messages of the response, and its heartbeats.
     async fn call(
         &self,
@@ -263,14 +288,16 @@
     }
 }
 
-/// The next message; heartbeats only show that there is still someone.
+/// The next message; heartbeats only show that there is still someone, which `heard` is called for.
 async fn next_message(
     messages: &mut (impl Stream<Item = MessageOrHeartbeat> + Unpin),
+    heard: impl Fn(),
 ) -> Result<Json, ConnectionEnd> {
     loop {
         let next = async { messages.next().await.unwrap_or(Err(ConnectionEnd::Closed)) };
-        if let (_, Some(message)) = with_timeout(HEARTBEAT_TIMEOUT, next).await? {
-            return Ok(message);
+        match with_timeout(HEARTBEAT_TIMEOUT, next).await? {
+            (_, Some(message)) => return Ok(message),
+            (_, None) => heard(),
         }
     }
 }
--- a/crates/agent/src/endpoint_list.rs
+++ b/crates/agent/src/endpoint_list.rs
@@ -9,6 +9,7 @@
 use lilacgate_start_settings::{Settings, SettingsError};
 
 use crate::endpoint_ids::EndpointIds;
+use crate::endpoint_start_times::{Sighting, StartTimes};
 use crate::json::{self, Json};
 
 /// An endpoint in a message of discovery.
@@ -54,6 +55,17 @@
     version: u64,
     /// The id of each endpoint by its name, the same at every agent and over its restarts.
     endpoint_ids: EndpointIds,
+    /// When the process of each endpoint started.
+    start_times: StartTimes,
+}
+
+/// When and in which circumstances a message was received.
+#[derive(Clone, Copy, Debug)]
+pub struct ListReceipt {
+    /// The time, on the agent's clock.
+    pub now: Duration,
+    /// Whether and how discovery sent it.
+    pub sighting: Sighting,
 }
 
 impl EndpointListReader {
@@ -67,6 +79,7 @@
             models: settings.names("shapes")?,
             version: 0,
             endpoint_ids: EndpointIds::default(),
+            start_times: StartTimes::default(),
         })
     }
 
@@ -85,6 +98,7 @@
     pub fn read(
         &mut self,
         message: &Json,
+        receipt: ListReceipt,
         named: &mut dyn FnMut(EndpointId, &str),
     ) -> Option<EndpointListUpdate> {
         let version = message.get("version").and_then(Json::as_u64)?;
@@ -92,13 +106,17 @@
             return None;
         };
         let entries = message.get("servers").and_then(Json::as_array)?;
-        let endpoints = entries
+        let mut endpoints = entries
             .iter()
             .map(|entry| self.read_entry(entry, named))
             .collect::<Option<Vec<_>>>()?;
         if !is_full && version < self.version {
             return None;
         }
+        // Only now: a message that is not taken must not count as seen.
+        for listed in &mut endpoints {
+            self.correct_start(&mut listed.endpoint, receipt);
+        }
         self.version = version;
         let statuses = endpoints
             .iter()
@@ -111,9 +129,18 @@
         };
         // The names of removed endpoints are forgotten: one that returns gets the same id.
         self.endpoint_ids.retain(|id| update.keeps(id));
+        self.start_times.retain(|id| update.keeps(id));
         Some(update)
     }
 
+    /// Replaces the start that the list shows by that on the agent's clock.
+    fn correct_start(&mut self, endpoint: &mut Endpoint, receipt: ListReceipt) {
+        let ListReceipt { now, sighting } = receipt;
+        endpoint.started = self
+            .start_times
+            .started(endpoint.id, endpoint.started, sighting, now);
+    }
+
     fn id_of(&mut self, name: &str, named: &mut dyn FnMut(EndpointId, &str)) -> EndpointId {
         if let Some(id) = self.endpoint_ids.get(name) {
             return id;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatcher;
 pub mod endpoint_ids;
 pub mod endpoint_list;
+pub mod endpoint_start_times;
 pub mod engine_host;
 pub mod error;
 pub mod event_loop;
