Lists that are asked for: the pause after failed calls stays under 4 s, spread by turns

Shorter random pauses had overwhelmed the service. Cause of that: the failures of a slow service are spread already, by when the calls were made, and a wide draw makes them meet again; the first calls clumped by chance. Now each agent's first call has its own turn in the spread, and a pause after a failure is 0.85 to 1 of at most 3.9 s.

--- a/crates/agent/src/endpoint_list.rs
+++ b/crates/agent/src/endpoint_list.rs
@@ -68,6 +68,14 @@
     pub sighting: Sighting,
 }
 
+impl ListReceipt {
+    /// The receipt of a message whose stamps are of the very clock that its reader goes by, as in virtual time.
+    pub const COMMON_CLOCK: ListReceipt = ListReceipt {
+        now: Duration::MAX,
+        sighting: Sighting::Saved,
+    };
+}
+
 impl EndpointListReader {
     /// A reader that knows the zones and machine models of the start settings.
     ///
--- a/crates/decision/src/engine/event_handling.rs
+++ b/crates/decision/src/engine/event_handling.rs
@@ -101,9 +101,8 @@
 
     fn on_endpoints(&mut self, update: ListUpdate, endpoints: &mut dyn Iterator<Item = Endpoint>) {
         self.endpoints.update(update, endpoints);
-        let agent_count = self.fleet_position.agent_count;
         self.list_polling
-            .on_update(self.now, update, agent_count, &mut self.random);
+            .on_update(self.now, update, self.fleet_position, &mut self.random);
         self.schedule.refresh_at = Duration::ZERO;
     }
 
--- a/crates/decision/src/policy/list_polling.rs
+++ b/crates/decision/src/policy/list_polling.rs
@@ -4,7 +4,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-use crate::model::{EndpointDiscoverySettings, ListUpdate};
+use crate::model::{EndpointDiscoverySettings, FleetPosition, ListUpdate};
 
 /// Requests of a fleet of so many agents or more spread over half of the time allowed, those of a smaller one
 /// over a fortieth of it for each agent.
@@ -15,6 +15,14 @@
 /// A watch that was up and broke is requested within this part of the time allowed.
 const BROKEN_WATCH_DIVISOR: u32 = 5;
 
+/// The longest pause after a failed request. A change counts as announced 6 s after the service can be reached, and the
+/// request itself may last 2 s.
+const LONGEST_PAUSE: Duration = Duration::from_millis(3900);
+
+/// A pause after a failed request lasts this share of its length at least. Failures of a service that is too slow are
+/// spread already, by when the requests were made; a wide draw would make them meet again.
+const LEAST_PAUSE_SHARE: f64 = 0.85;
+
 /// Requests of the endpoint list.
 #[derive(Debug)]
 pub(crate) struct ListPolling {
@@ -39,8 +47,8 @@
         self.next_request_at.take_if(|at| *at <= now).is_some()
     }
 
-    /// Agents that came up or failed together request one after another, at random times; many, over half of the
-    /// time allowed. Guards against waves that a service of fixed capacity fails as a whole, again and again.
+    /// Agents that came up or failed together request one after another: each in its own part of the spread at first,
+    /// and after a failed request so long after it that the spread stays as it was. Guards against waves that a service of fixed capacity fails as a whole, again and again.
     /// Harms, by as much, an agent that comes up alone amid a change. A watch that was up and broke is requested
     /// within a fifth of that time at most: a change that it misses counts as announced some seconds after the
     /// service fell silent.
@@ -48,25 +56,36 @@
         &mut self,
         now: Duration,
         update: ListUpdate,
-        agent_count: u32,
+        position: FleetPosition,
         random: &mut Pcg64Mcg,
     ) {
         let Some(within) = self.request_within else {
             return;
         };
+        let agent_count = position.agent_count.max(1);
         let spread = within * agent_count.min(MAX_SPREAD_AGENTS) / (2 * MAX_SPREAD_AGENTS);
         let min_backoff = within / MIN_BACKOFF_DIVISOR + spread;
         let backoff = self.backoff;
         let jitter = random.random::<f64>();
+        // Each agent has a part of the spread of its own, so that no two of them draw the same time.
+        let turn = (f64::from(position.own_id.0) + jitter) / f64::from(agent_count);
         let (wait, next_backoff) = match update {
-            ListUpdate::Cached => (spread.mul_f64(jitter), min_backoff),
+            ListUpdate::Cached => (
+                spread.min(LONGEST_PAUSE).mul_f64(turn.min(1.0)),
+                min_backoff,
+            ),
             ListUpdate::Failed if backoff.is_zero() => (
                 min_backoff
                     .min(within / BROKEN_WATCH_DIVISOR)
                     .mul_f64(jitter),
                 min_backoff,
             ),
-            ListUpdate::Failed => (backoff.mul_f64(0.5 + jitter), (backoff * 2).min(within)),
+            ListUpdate::Failed => (
+                backoff
+                    .min(LONGEST_PAUSE)
+                    .mul_f64(LEAST_PAUSE_SHARE + (1.0 - LEAST_PAUSE_SHARE) * jitter),
+                (backoff * 2).min(within),
+            ),
             ListUpdate::Delta | ListUpdate::Full => {
                 self.backoff = Duration::ZERO;
                 return;
--- a/crates/scale/src/module.rs
+++ b/crates/scale/src/module.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cpu_time::ThreadTime;
-use lilacgate_agent::endpoint_list::EndpointListReader;
+use lilacgate_agent::endpoint_list::{EndpointListReader, ListReceipt};
 use lilacgate_agent::http_response::{HttpResponse, ValuesAndHeartbeats};
 use lilacgate_agent::json::{Json, JsonParser};
 use lilacgate_agent::release_watch;
@@ -233,7 +233,9 @@
     pub fn take_saved(&mut self, text: &[u8], meter: &mut Meter) -> Option<ModuleEvent> {
         let start = ThreadTime::now();
         let list = JsonParser::parse(text).ok()?;
-        let update = self.endpoint_list.read(&list, &mut |_, _| {})?;
+        let update = self
+            .endpoint_list
+            .read(&list, ListReceipt::COMMON_CLOCK, &mut |_, _| {})?;
         meter.parse(start.elapsed());
         let lines = update
             .endpoints
@@ -280,7 +282,7 @@
     fn read_list(&mut self, list: &Json) -> Result<ModuleEvent, Unreadable> {
         let update = self
             .endpoint_list
-            .read(list, &mut |_, _| {})
+            .read(list, ListReceipt::COMMON_CLOCK, &mut |_, _| {})
             .ok_or(Unreadable)?;
         let list_update = if update.is_full {
             ListUpdate::Full
--- a/crates/scale/src/simulation/setup.rs
+++ b/crates/scale/src/simulation/setup.rs
@@ -2,7 +2,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use lilacgate_agent::endpoint_list::{EndpointListReader, ListedEndpoint};
+use lilacgate_agent::endpoint_list::{EndpointListReader, ListReceipt, ListedEndpoint};
 use lilacgate_agent::json::JsonParser;
 use lilacgate_capacity::fleet;
 use lilacgate_decision::{AgentId, EndpointId};
@@ -84,7 +84,7 @@
             .map_err(|error| ScaleError::Settings(error.to_string()))?;
         let list = JsonParser::parse(&text).map_err(|_| unreadable())?;
         let update = endpoint_list
-            .read(&list, &mut |_, _| {})
+            .read(&list, ListReceipt::COMMON_CLOCK, &mut |_, _| {})
             .ok_or_else(unreadable)?;
         let number = |listed: &ListedEndpoint| {
             wire::index(listed.address).map(|index| (listed.endpoint.id, index))
