--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -72,6 +72,8 @@
     PermissionChanges "permission_changes"
     /// Departures from the baseline that were found in the time lines.
     Departures "departures"
+    /// Records of the time lines that were left out since the disk was behind.
+    TimelineRecordsDropped "timeline_records_dropped"
     /// Datagrams to peers that were sent.
     DatagramsSent "datagrams_sent"
     /// Datagrams of peers that were received.
--- a/crates/agent/src/log/writer.rs
+++ b/crates/agent/src/log/writer.rs
@@ -1,6 +1,7 @@
 //! Writes log lines to standard error on a thread of its own, so that a reader which stands still holds up nothing
 //! else. The rate of each call site is bounded, and so are the lines that wait for the reader.
 use std::fmt::Display;
+use std::io::{self, Write as _};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
@@ -89,10 +90,17 @@
     })
 }
 
+/// Writes a line to standard error. One that cannot be written is lost: a full disk behind it must end nothing.
+fn write_line(line: &str) {
+    if writeln!(io::stderr().lock(), "{line}").is_err() {
+        count(Count::LogLinesLost);
+    }
+}
+
 fn write_all(messages: Receiver<Message>) {
     for message in messages {
         match message {
-            Message::Line(line) => eprintln!("{line}"),
+            Message::Line(line) => write_line(&line),
             Message::Flush(done) => drop(done.try_send(())),
         }
     }
@@ -101,7 +109,7 @@
 /// Writes a line as soon as the log's reader takes it. It is left out and counted if too many lines wait already.
 pub fn write(line: String) {
     match queue().try_send(Message::Line(line)) {
-        Err(TrySendError::Disconnected(Message::Line(line))) => eprintln!("{line}"),
+        Err(TrySendError::Disconnected(Message::Line(line))) => write_line(&line),
         Err(_) => count(Count::LogLinesLost),
         Ok(()) => {}
     }
--- a/crates/agent/src/recorder/store.rs
+++ b/crates/agent/src/recorder/store.rs
@@ -1,17 +1,17 @@
 //! Hands the records of the time lines over to the thread that writes them to disk.
 //!
-//! Handing over never waits: records that the disk is too slow for wait here, up to a bound, from which the finest
-//! detail goes first. The first fault of the disk ends the writing for good.
+//! Handing over never waits: records that the disk is too slow for, or that it refuses for a while, wait here, up to a
+//! bound, from which the finest detail goes first. A disk that fails is tried again for as long as the agent runs.
 use std::time::Duration;
 
 use lilacgate_operator_config::Store;
-use lilacgate_store::background_writer::{BackgroundWriter, Submitted};
+use lilacgate_store::background_writer::{BackgroundWriter, StatusChange, Submitted};
 use lilacgate_store::storage::FileSystem;
 use lilacgate_store::writer::{Retention, StoreWriter};
 use lilacgate_timeline::entry::Record;
 use lilacgate_timeline::fleet_timeline::FleetTimeline;
 
-use crate::log::{Quoted, info};
+use crate::log::{Count, Quoted, add, info};
 use crate::recorder::MAX_WAITING_RECORDS;
 
 /// The time between two batches.
@@ -19,8 +19,10 @@
 
 /// The records that wait for the disk, and the way to the thread that writes them.
 pub(super) struct StoreQueue {
-    /// None if there is no store, or if writing has ended.
+    /// None if there is no store.
     pump: Option<BackgroundWriter>,
+    /// The folder of the store, for log lines.
+    folder: String,
     /// What is handed over first, the oldest first.
     waiting: Vec<Record>,
     /// When the next batch is handed over.
@@ -28,10 +30,11 @@
 }
 
 impl StoreQueue {
-    /// Opens a store, if there is one; a folder that cannot be used is logged, and nothing is kept on disk.
+    /// Opens a store, if there is one. A folder that cannot be used is logged, and tried again.
     pub(super) fn open(now: Duration, store: Option<&Store>) -> Self {
         StoreQueue {
-            pump: store.and_then(open_pump),
+            pump: store.map(open_pump),
+            folder: store.map_or(String::new(), |store| store.folder.display().to_string()),
             waiting: Vec::new(),
             next_batch: now + BATCH_INTERVAL,
         }
@@ -59,6 +62,9 @@
         }
         self.next_batch = now + BATCH_INTERVAL;
         let Some(pump) = &mut self.pump else { return };
+        for change in pump.take_status_changes() {
+            log_status_change(&self.folder, change);
+        }
         let mut batch = std::mem::take(&mut self.waiting);
         batch.extend(book.take_records());
         if batch.is_empty() {
@@ -67,31 +73,35 @@
         match pump.submit(now, batch) {
             Submitted::Accepted => {}
             Submitted::QueueFull(batch) => self.waiting = shortened(now, batch),
-            Submitted::Closed(cause) => {
+            Submitted::Closed => {
                 self.pump = None;
-                if let Some(cause) = cause {
-                    info!("timeline_store_closed error={}", Quoted(cause));
-                }
+                info!("timeline_store_closed folder={}", Quoted(&self.folder));
             }
         }
     }
 }
 
-fn open_pump(store: &Store) -> Option<BackgroundWriter> {
+fn open_pump(store: &Store) -> BackgroundWriter {
     let bounds = Retention {
         max_bytes: store.keep,
         max_age: store.age,
     };
-    match StoreWriter::new(&store.folder, bounds, Box::new(FileSystem)) {
-        Ok(writer) => Some(BackgroundWriter::new(writer)),
-        Err(error) => {
-            info!(
-                "timeline_store_failed folder={} error={}",
-                Quoted(store.folder.display()),
-                Quoted(error)
-            );
-            None
-        }
+    let folder = store.folder.clone();
+    BackgroundWriter::new(move || StoreWriter::new(&folder, bounds, Box::new(FileSystem)))
+}
+
+fn log_status_change(folder: &str, change: StatusChange) {
+    match change {
+        StatusChange::Failed(error) => info!(
+            "timeline_store_failed folder={} error={}",
+            Quoted(folder),
+            Quoted(error)
+        ),
+        StatusChange::Resumed { failed_for } => info!(
+            "timeline_store_resumed folder={} duration_ms={}",
+            Quoted(folder),
+            failed_for.as_millis()
+        ),
     }
 }
 
@@ -103,9 +113,8 @@
     }
     batch.retain(|record| !matches!(record, Record::Step(_)));
     batch.truncate(MAX_WAITING_RECORDS);
-    batch.push(Record::Dropped {
-        at: now,
-        count: (before - batch.len()) as u64,
-    });
+    let count = (before - batch.len()) as u64;
+    add(Count::TimelineRecordsDropped, count);
+    batch.push(Record::Dropped { at: now, count });
     batch
 }
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -33,7 +33,7 @@
 //!     open N / close-all           so many clients connect and stay / all of them leave
 //!     later MS                     so much time passes
 //!     another agent                the operator's file names another one
-//!     timeline ATTRIBUTES          the operator's file has a <timeline> with these
+//!     timeline ATTRIBUTES          the operator's file has a <timeline> with these; FOLDER is one of the scenario's own
 //!     operator XML                 what the operator's file holds in <releases>; AT-NAME is where that service's
 //!                                  release control plane listens
 //!     control-plane NAME           a release control plane of another service
--- a/crates/agent/tests/scenario_player/agent_process.rs
+++ b/crates/agent/tests/scenario_player/agent_process.rs
@@ -178,6 +178,7 @@
         let Some(mut text) = self.operator_file.clone() else {
             return;
         };
+        text = text.replace("FOLDER", &self.folder.path().display().to_string());
         for (name, service) in &self.services {
             let address = service.server.address.to_string();
             text = text.replace(&format!("AT-{name}"), &address);
--- a/crates/store/src/storage.rs
+++ b/crates/store/src/storage.rs
@@ -19,12 +19,22 @@
     /// # Errors
     /// What the storage reports.
     fn sync(&mut self) -> io::Result<()>;
+
+    /// Cuts the file off behind so many bytes.
+    ///
+    /// # Errors
+    /// What the storage reports.
+    fn truncate(&mut self, size: u64) -> io::Result<()>;
 }
 
 impl SegmentFile for File {
     fn sync(&mut self) -> io::Result<()> {
         self.sync_data()
     }
+
+    fn truncate(&mut self, size: u64) -> io::Result<()> {
+        self.set_len(size)
+    }
 }
 
 /// The file system of the machine.
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -1,5 +1,9 @@
 //! Appends batches of records to the last segment and syncs them, begins a new segment when that is full, and removes
 //! the oldest ones beyond the retention. It never writes into the middle of a file.
+//!
+//! After a write or sync that fails nobody knows what of it is on disk, and a later sync of the same pages may succeed
+//! without them. The segment is given up then: it is cut off behind what was synced before, and the batch goes into a new
+//! one.
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read};
@@ -17,6 +21,8 @@
 /// The bounds of a segment's size, in bytes.
 const MIN_SEGMENT_BYTES: u64 = 1 << 12;
 const MAX_SEGMENT_BYTES: u64 = 16 << 20;
+/// How many segments may be given up without having been cut off yet; beyond it no new one is begun.
+const MAX_UNCUT_SEGMENTS: usize = 16;
 
 /// How much is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,11 +42,35 @@
 
 /// The segment to which batches are appended.
 struct OpenSegment {
+    path: PathBuf,
     file: Box<dyn SegmentFile>,
-    /// Its size, in bytes.
+    /// How much of it has been synced, in bytes.
+    size: u64,
+}
+
+/// A segment that was given up, and could not be cut off behind what had been synced.
+struct UncutSegment {
+    path: PathBuf,
+    /// How much of it counts, in bytes.
     size: u64,
 }
 
+impl UncutSegment {
+    /// Cuts it off, or removes it if nothing of it counts.
+    fn cut(&self) -> io::Result<()> {
+        if self.size > HEADER_BYTES as u64 {
+            return OpenOptions::new()
+                .write(true)
+                .open(&self.path)?
+                .set_len(self.size);
+        }
+        match fs::remove_file(&self.path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+            result => result,
+        }
+    }
+}
+
 /// A segment that may be removed.
 struct KeptSegment {
     path: PathBuf,
@@ -56,6 +86,7 @@
     retention: Retention,
     storage: Box<dyn Storage>,
     open: Option<OpenSegment>,
+    uncut: Vec<UncutSegment>,
     next_number: u64,
 }
 
@@ -91,6 +122,7 @@
             retention,
             storage,
             open: None,
+            uncut: Vec::new(),
             next_number: last.map_or(0, |last| last.number + 1),
         })
     }
@@ -98,8 +130,10 @@
     /// Appends a batch and syncs it: once this returns, the batch is kept. `now` is a span since 1970.
     ///
     /// # Errors
-    /// What the file system reports; any part of the batch may be written then.
+    /// What the file system reports; the batch may be appended again then, and none of its records is kept twice unless
+    /// the file system refuses to cut off what was given up until the process ends.
     pub fn append(&mut self, now: Duration, batch: &[Record]) -> io::Result<()> {
+        self.uncut.retain(|segment| segment.cut().is_err());
         let mut bytes = Vec::new();
         for record in batch {
             append_record(&mut bytes, record);
@@ -110,10 +144,36 @@
             None => self.begin_segment(now)?,
         };
         let open = self.open.insert(open);
-        open.file.write_all(&bytes)?;
-        open.file.sync()?;
-        open.size += added;
-        Ok(())
+        match write_and_sync(open.file.as_mut(), &bytes) {
+            Ok(()) => {
+                open.size += added;
+                Ok(())
+            }
+            Err(error) => {
+                self.give_up_segment();
+                Err(error)
+            }
+        }
+    }
+
+    /// Gives the open segment up: what was synced of it is kept, and nothing more is written to it.
+    fn give_up_segment(&mut self) {
+        let Some(OpenSegment {
+            path,
+            mut file,
+            size,
+        }) = self.open.take()
+        else {
+            return;
+        };
+        let is_worth_keeping = size > HEADER_BYTES as u64;
+        if !is_worth_keeping || file.truncate(size).is_err() {
+            drop(file);
+            let segment = UncutSegment { path, size };
+            if segment.cut().is_err() {
+                self.uncut.push(segment);
+            }
+        }
     }
 
     /// Whether a batch fits into a segment. An empty segment takes a batch of any size.
@@ -123,18 +183,36 @@
     }
 
     fn begin_segment(&mut self, now: Duration) -> io::Result<OpenSegment> {
+        if self.uncut.len() >= MAX_UNCUT_SEGMENTS {
+            return Err(io::Error::other("too many segments could not be cut off"));
+        }
         self.remove_beyond_retention(now)?;
         let name = format!("{:012}.{EXTENSION}", self.next_number);
-        let mut file = self.storage.open(&self.folder.join(name))?;
-        file.write_all(&header(now.as_secs()))?;
-        file.sync()?;
+        // A number is used one time only: what a failed try has left in its file is never appended to.
+        self.next_number += 1;
+        let path = self.folder.join(name);
+        match self.create_segment(&path, now) {
+            Ok(file) => Ok(OpenSegment {
+                path,
+                file,
+                size: HEADER_BYTES as u64,
+            }),
+            Err(error) => {
+                let segment = UncutSegment { path, size: 0 };
+                if segment.cut().is_err() {
+                    self.uncut.push(segment);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    fn create_segment(&mut self, path: &Path, now: Duration) -> io::Result<Box<dyn SegmentFile>> {
+        let mut file = self.storage.open(path)?;
+        write_and_sync(file.as_mut(), &header(now.as_secs()))?;
         // Without syncing the folder, the file's name may be gone after a loss of power.
         File::open(&self.folder)?.sync_all()?;
-        self.next_number += 1;
-        Ok(OpenSegment {
-            file,
-            size: HEADER_BYTES as u64,
-        })
+        Ok(file)
     }
 
     /// Removes the oldest segments until the rest is young enough and leaves room for a new one.
@@ -169,6 +247,16 @@
     }
 }
 
+fn write_and_sync(file: &mut dyn SegmentFile, bytes: &[u8]) -> io::Result<()> {
+    file.write_all(bytes)?;
+    loop {
+        match file.sync() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
 /// When the segment in a file was begun, in seconds since 1970; `None` if it is none, or can't be read.
 fn begun_of_file(path: &Path) -> Option<u64> {
     let mut header = [0; HEADER_BYTES];
