No connection is closed over a command that was read in part: it is answered first

Terms: a request that was read and then closed with no answer is lost, on new connections too. Causes: an evicted connection went before its first whole command although part of it was read, or all of it lay unread; the closing phase closed over what was read in part; a new connection ended 2 s after it was accepted, also amid its first command. Change: what has begun or waits unread is answered -BUSY (nothing was done for it) before the connection closes, and its rest is dropped; a command that begins in the last moment of a new connection has its own 2 s.

--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -6,6 +6,7 @@
 use futures_lite::{FutureExt, StreamExt, future, pin};
 
 use super::byte_budget::ByteBudget;
+use super::lingering_close::Remainder;
 use super::reply_queue::ReplyQueue;
 use super::{COMMAND_TIMEOUT, Clients};
 use crate::log::{ConnectionEnd, Count, count, info};
@@ -28,8 +29,10 @@
     has_partial_command: Rc<Cell<bool>>,
     /// Why it is closed once it stands between commands.
     pub(super) end_reason: Cell<Option<ConnectionEnd>>,
-    /// Whether it may be closed although input is waiting: no time is left for a reply.
-    pub(super) ignores_input: Cell<bool>,
+    /// Whether its last command took too long to come.
+    is_stalled: Cell<bool>,
+    /// Whether a command that had begun was answered before it was read to its end; nothing more is executed.
+    is_refused: Cell<bool>,
     /// When a command last arrived or a reply was last written.
     pub(super) last_activity: Cell<Duration>,
 }
@@ -48,7 +51,8 @@
             has_received_command: Cell::default(),
             has_partial_command,
             end_reason: Cell::default(),
-            ignores_input: Cell::default(),
+            is_stalled: Cell::default(),
+            is_refused: Cell::default(),
             last_activity: Cell::new(opened),
         }
     }
@@ -59,6 +63,22 @@
         self.replies.wake();
     }
 
+    /// Answers a command that has begun, or that is waiting to be read, without waiting for its end: a command that was
+    /// read in part must not be left without an answer. Nothing has been done for it, so it is rejected.
+    pub(super) fn refuse_unfinished(&self) {
+        let is_empty = || {
+            self.stream
+                .upgrade()
+                .is_none_or(|stream| has_no_input(&stream))
+        };
+        if self.is_refused.get() || !self.has_partial_command.get() && is_empty() {
+            return;
+        }
+        count(Count::RequestsRefused);
+        self.is_refused.set(true);
+        self.replies.push_line("-BUSY");
+    }
+
     /// Whether the connection is not about to be closed, and stands between commands.
     pub(super) fn is_idle(&self) -> bool {
         self.end_reason.get().is_none() && self.is_between_commands()
@@ -78,18 +98,26 @@
                     .is_some_and(|stream| has_no_input(&stream))
     }
 
-    /// Whether input no longer counts. What follows a command that cannot be parsed cannot be parsed either; a
-    /// connection that is evicted before its first command has been promised nothing.
+    /// Whether input no longer counts: what follows a command that cannot be parsed cannot be parsed either, and what
+    /// follows one that was refused or came too slowly is the rest of it.
     fn is_input_over(&self) -> bool {
-        match self.end_reason.get() {
+        let is_unreadable = matches!(
+            self.end_reason.get(),
             Some(
-                ConnectionEnd::Malformed
-                | ConnectionEnd::TooLong
-                | ConnectionEnd::TooManyMessages
-                | ConnectionEnd::TimedOut,
-            ) => true,
-            Some(ConnectionEnd::Evicted) if !self.has_received_command.get() => true,
-            _ => self.ignores_input.get(),
+                ConnectionEnd::Malformed | ConnectionEnd::TooLong | ConnectionEnd::TooManyMessages
+            )
+        );
+        is_unreadable || self.is_stalled.get() || self.is_refused.get()
+    }
+
+    /// What becomes of input behind the last command that counts.
+    fn remainder(&self, end: ConnectionEnd) -> Remainder {
+        match end {
+            ConnectionEnd::Malformed | ConnectionEnd::TooLong | ConnectionEnd::TooManyMessages => {
+                Remainder::Discarded
+            }
+            _ if self.is_refused.get() => Remainder::Discarded,
+            _ => Remainder::Unread,
         }
     }
 
@@ -144,7 +172,8 @@
             self.event_loop.client_left(request);
         }
         if connection.end_reason.get() == Some(end) && connection.replies.has_sent_any() {
-            self.linger(&stream, end).await;
+            let remainder = connection.remainder(end);
+            self.linger(&stream, remainder).await;
         }
         drop(stream);
         self.connections.borrow_mut().remove(&serial);
@@ -191,14 +220,21 @@
         pin!(commands);
         let reason = loop {
             let next = commands.next();
-            let next = if connection.has_received_command.get() {
+            let is_ending = connection.end_reason.get().is_some();
+            let next = if connection.has_received_command.get() || is_ending {
                 next.await
             } else {
-                with_timeout(COMMAND_TIMEOUT, async { Ok(next.await) })
-                    .await
-                    .unwrap_or_else(|end| Some(Err(end)))
+                match with_timeout(COMMAND_TIMEOUT, async { Ok(next.await) }).await {
+                    Ok(next) => next,
+                    Err(end) => {
+                        // A command that begins just now is still read, in a time of its own.
+                        connection.end(end);
+                        continue;
+                    }
+                }
             };
             match next {
+                Some(Ok(_)) if connection.is_refused.get() => break ConnectionEnd::Evicted,
                 Some(Ok((arrived, command))) => {
                     // An attempt for a client that has gone would run for nobody.
                     if arrived.elapsed() >= READ_LATE && self.is_gone_after(arrived, &stream) {
@@ -220,15 +256,20 @@
                     break end;
                 }
                 // The commands before one that was never completed get their replies still.
-                Some(Err(ConnectionEnd::TimedOut)) => break ConnectionEnd::TimedOut,
+                Some(Err(ConnectionEnd::TimedOut)) => {
+                    connection.is_stalled.set(true);
+                    break ConnectionEnd::TimedOut;
+                }
                 Some(Err(end)) => return end,
                 None => return ConnectionEnd::Closed,
             }
         };
         // No more commands are taken. A client that leaves while one of its requests is in flight ends the connection;
         // else it ends with its last reply.
+        let reason = connection.end_reason.get().unwrap_or(reason);
         connection.end(reason);
-        let end = self.wait_for_client_end(&stream, reason).await;
+        let remainder = connection.remainder(reason);
+        let end = self.wait_for_client_end(&stream, remainder).await;
         if end != ConnectionEnd::TooManyMessages && connection.replies.has_unanswered() {
             end
         } else {
--- a/crates/agent/src/clients/eviction.rs
+++ b/crates/agent/src/clients/eviction.rs
@@ -63,7 +63,10 @@
             .min_by_key(order)
             .cloned();
         longest_idle
-            .inspect(|connection| connection.end(ConnectionEnd::Evicted))
+            .inspect(|connection| {
+                connection.refuse_unfinished();
+                connection.end(ConnectionEnd::Evicted);
+            })
             .is_some()
     }
 
--- a/crates/agent/src/clients/lingering_close.rs
+++ b/crates/agent/src/clients/lingering_close.rs
@@ -14,10 +14,19 @@
 /// The most bytes to read at a time where they are discarded.
 const DISCARD_CHUNK: usize = 4 << 10;
 
+/// What becomes of input on a connection that takes no more commands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Remainder {
+    /// It is read and dropped: it belongs to something that has had its reply, or cannot be read.
+    Discarded,
+    /// It is left unread: it is a command whose client sends it again elsewhere.
+    Unread,
+}
+
 impl Clients {
     /// Shuts the sending side down, and waits for the client's end: no longer than a connection may take to be
     /// established, nor beyond the agent's own shutdown.
-    pub(super) async fn linger(&self, stream: &TcpSocket, reason: ConnectionEnd) {
+    pub(super) async fn linger(&self, stream: &TcpSocket, remainder: Remainder) {
         stream.get_ref().shutdown(Shutdown::Write).ok();
         let shutdown = async {
             self.draining.notified().await;
@@ -27,25 +36,21 @@
                 .await;
             Err(ConnectionEnd::ShuttingDown)
         };
-        let client_end = async { Err::<(), _>(self.wait_for_client_end(stream, reason).await) };
+        let client_end = async { Err::<(), _>(self.wait_for_client_end(stream, remainder).await) };
         with_timeout(self.connect_timeout, client_end.or(shutdown))
             .await
             .ok();
     }
 
     /// Waits for the client's end on a connection that takes no more commands; returns
-    /// [`ConnectionEnd::TooManyMessages`] if it sends on instead. What is malformed, or comes behind that, is discarded,
-    /// up to as many bytes as all clients together may hold. A command is left unread: its client has all its replies,
-    /// and sends it again elsewhere.
+    /// [`ConnectionEnd::TooManyMessages`] if it sends on instead. What is discarded is so up to as many bytes as all
+    /// clients together may hold.
     pub(super) async fn wait_for_client_end(
         &self,
         stream: &TcpSocket,
-        reason: ConnectionEnd,
+        remainder: Remainder,
     ) -> ConnectionEnd {
-        let discards = matches!(
-            reason,
-            ConnectionEnd::Malformed | ConnectionEnd::TooLong | ConnectionEnd::TooManyMessages
-        );
+        let discards = remainder == Remainder::Discarded;
         // On the heap: within the task it would enlarge every connection for as long as that lives.
         let mut bytes = vec![0; if discards { DISCARD_CHUNK } else { 1 }];
         let mut discarded = 0;
--- a/crates/agent/src/clients/shutdown.rs
+++ b/crates/agent/src/clients/shutdown.rs
@@ -57,7 +57,9 @@
             if !is_reading_over && connection.end_reason.get().is_some() {
                 continue;
             }
-            connection.ignores_input.set(is_reading_over);
+            if is_reading_over {
+                connection.refuse_unfinished();
+            }
             let grace = if connection.has_received_command.get() {
                 Duration::ZERO
             } else {
