--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -7,7 +7,7 @@
 
 use super::byte_budget::ByteBudget;
 use super::lingering_close::Remainder;
-use super::reply_queue::ReplyQueue;
+use super::reply_queue::{ReadyReply, ReplyQueue};
 use super::{COMMAND_TIMEOUT, Clients};
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, CommandParser};
@@ -126,7 +126,7 @@
     /// # Errors
     ///
     /// The reason to close the connection, once it stands between commands.
-    async fn next_reply(&self) -> Result<Vec<u8>, ConnectionEnd> {
+    async fn next_reply(&self) -> Result<ReadyReply, ConnectionEnd> {
         loop {
             if let Some(reply) = self.replies.take_ready() {
                 return Ok(reply);
@@ -195,15 +195,18 @@
         async move {
             let mut output = RingBuffer::new(resp::MAX_MESSAGE);
             loop {
-                match connection.next_reply().await {
-                    Ok(reply) => output.append(&reply),
+                let reply = match connection.next_reply().await {
+                    Ok(reply) => reply,
                     Err(reason) => return reason,
-                }
+                };
+                output.append(&reply.bytes);
                 // A client that does not read its replies delays nobody else, and is not waited for without end.
                 let flush = output.flush(stream);
                 if let Err(end) = with_timeout(self.longest_deadline, flush).await {
                     return end;
                 }
+                // Until then its bytes were held, by the socket's side of this connection.
+                drop(reply);
                 connection.last_activity.set(self.event_loop.clock.now());
             }
         }
--- a/crates/agent/src/clients/reply_queue.rs
+++ b/crates/agent/src/clients/reply_queue.rs
@@ -11,10 +11,13 @@
 enum PendingReply {
     /// The event loop has yet to answer the request.
     Unanswered(RequestId),
-    Ready {
-        bytes: Vec<u8>,
-        _reservation: ByteReservation,
-    },
+    Ready(ReadyReply),
+}
+
+/// A reply that can be written. Its bytes count as held for as long as it lives.
+pub(super) struct ReadyReply {
+    pub(super) bytes: Vec<u8>,
+    _reservation: ByteReservation,
 }
 
 /// The place of a reply, counted from the start of the connection.
@@ -74,11 +77,15 @@
 
     /// Adds a reply of one line, given without its line end.
     pub(super) fn push_line(&self, line: &str) {
-        let bytes = format!("{line}\r\n").into_bytes();
-        self.push(PendingReply::Ready {
+        let reply = self.ready(format!("{line}\r\n").into_bytes());
+        self.push(reply);
+    }
+
+    fn ready(&self, bytes: Vec<u8>) -> PendingReply {
+        PendingReply::Ready(ReadyReply {
+            _reservation: self.held_bytes.reserve(bytes.len()),
             bytes,
-            _reservation: self.held_bytes.reserve(line.len()),
-        });
+        })
     }
 
     fn push(&self, reply: PendingReply) {
@@ -94,24 +101,20 @@
             .and_then(|index| usize::try_from(index).ok());
         let mut pending = self.pending.borrow_mut();
         if let Some(reply) = index.and_then(|index| pending.get_mut(index)) {
-            *reply = PendingReply::Ready {
-                _reservation: self.held_bytes.reserve(bytes.len()),
-                bytes,
-            };
+            *reply = self.ready(bytes);
             self.changed.wake();
         }
     }
 
-    /// Takes the first reply if it is ready.
-    pub(super) fn take_ready(&self) -> Option<Vec<u8>> {
+    /// Takes the first reply if it is ready. Its bytes count as held until it is dropped.
+    pub(super) fn take_ready(&self) -> Option<ReadyReply> {
         let mut pending = self.pending.borrow_mut();
-        let bytes = match pending.front_mut()? {
-            PendingReply::Ready { bytes, .. } => std::mem::take(bytes),
-            PendingReply::Unanswered(_) => return None,
+        let ready = pending.pop_front_if(|reply| matches!(reply, PendingReply::Ready(_)));
+        let Some(PendingReply::Ready(reply)) = ready else {
+            return None;
         };
-        pending.pop_front();
         self.first_position.set(self.first_position.get() + 1);
-        Some(bytes)
+        Some(reply)
     }
 
     /// Drops all pending replies; returns the requests that were unanswered.
@@ -121,7 +124,7 @@
             .into_iter()
             .filter_map(|reply| match reply {
                 PendingReply::Unanswered(request) => Some(request),
-                PendingReply::Ready { .. } => None,
+                PendingReply::Ready(_) => None,
             })
     }
 
--- a/crates/agent/src/transport/input_reader.rs
+++ b/crates/agent/src/transport/input_reader.rs
@@ -114,6 +114,10 @@
                     self.has_partial_item.set(!self.buffer.is_empty());
                     return Ok(Some(item));
                 }
+                // It wants more bytes before it takes any.
+                if consumed == 0 {
+                    break;
+                }
             }
             self.buffer.shrink_if_empty();
             if self.read(stream).await?.count == 0 {
@@ -150,6 +154,10 @@
 
     /// Reads what comes next, and notes when it may have arrived.
     async fn read_and_date(&mut self, stream: &TcpSocket) -> Result<SocketRead, ConnectionEnd> {
+        // A read without room would look like the end of the stream.
+        if self.buffer.is_full() {
+            return Err(ConnectionEnd::TooLong);
+        }
         let read = loop {
             match self.buffer.read_from(stream.get_ref()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
--- a/crates/agent/src/transport/ring_buffer.rs
+++ b/crates/agent/src/transport/ring_buffer.rs
@@ -43,6 +43,11 @@
         self.bytes.is_empty()
     }
 
+    /// Whether nothing more can be read ahead.
+    pub(super) fn is_full(&self) -> bool {
+        self.bytes.len() >= self.limit
+    }
+
     /// Appends bytes that are to be sent.
     pub fn append(&mut self, bytes: &[u8]) {
         self.bytes.extend(bytes);
--- a/crates/decision/src/policy/release_analysis.rs
+++ b/crates/decision/src/policy/release_analysis.rs
@@ -180,7 +180,8 @@
         class: RequestClass,
         counts: OutcomeCounts,
     ) {
-        if self.tests.is_empty() {
+        // Behind the classes stand the tests over all of them.
+        if self.tests.is_empty() || usize::from(class.0) >= self.class_count {
             return;
         }
         let key = OutcomeKey {
--- a/crates/decision/tests/engine/reports/single.rs
+++ b/crates/decision/tests/engine/reports/single.rs
@@ -105,6 +105,17 @@
 
 /// A member's relay is another one every four times the minimum stage time, and never an aggregator: a dead relay
 /// costs no more than that.
+/// A wrong answer of a class that the settings do not have counts in no test, whichever stands behind the classes, and
+/// ends nothing.
+#[rstest]
+fn a_wrong_answer_of_an_unknown_class_counts_nowhere(#[values(1, 2, 3, 255)] class: u8) {
+    let mut member = SingleAgent::new(1, 30, Reporting::Direct);
+    let sent = member.after(MINIMUM_STAGE_TIME, |events| {
+        events.on_wrong_answer(canary(0), RequestClass(class), Duration::ZERO);
+    });
+    assert_eq!(sent, Vec::new());
+}
+
 #[test]
 fn a_member_changes_its_relay() {
     let aggregators = [2, 178, 355].map(AgentId);
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -144,6 +144,7 @@
                 Ok(instance) => drop(self.instances.insert(number, instance)),
                 Err(error) => {
                     reply.for_instance(number).fatal(&error.to_string());
+                    self.store_pages(segment)?;
                     return Ok(false);
                 }
             }
--- a/crates/simulator-adapter/tests/malformed.rs
+++ b/crates/simulator-adapter/tests/malformed.rs
@@ -106,3 +106,16 @@
     let output = format!("{}{errors}", String::from_utf8_lossy(&replies));
     assert!(output.contains(why), "output {output:?}");
 }
+
+/// Pages belong to all instances: those behind a start with settings that cannot be used are read all the same.
+#[test]
+fn a_page_behind_bad_settings_is_read() {
+    let options = b"tick=5000\n";
+    let mut up = vec![6, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0];
+    up.extend((options.len() as u32).to_be_bytes());
+    let Run { errors, .. } = run_adapter(&frame(&[ON, &up, &[5, 0, 0, 0, 99]], options));
+    assert!(
+        errors.contains("record 2, PAGE of instance 3: "),
+        "{errors:?}"
+    );
+}
