Stamps of starts stand while nothing shows that the clocks differ

Change: a stamp stands if it is plausible (not in the future, no older than discovery's silence and 6 s) and the shortest of three or more delays is under a second; else the clocks differ by the shortest delay, as before. Steps under 6 s show after three starts only: the tests say so.

--- a/crates/agent/src/endpoint_start_times.rs
+++ b/crates/agent/src/endpoint_start_times.rs
@@ -10,8 +10,14 @@
 
 use lilacgate_decision::EndpointId;
 
-/// News of a start may be so much later than the fastest ones; a longer delay shows that a clock was stepped.
-const NEWS_SLACK: Duration = Duration::from_secs(2);
+/// News of a start come so late at the most, beyond a silence of discovery; a longer delay shows that a clock was stepped.
+const LONGEST_NEWS_DELAY: Duration = Duration::from_secs(6);
+/// The fastest of several news come within this time, if the clocks agree.
+const ORDINARY_NEWS_DELAY: Duration = Duration::from_secs(1);
+/// So many delays tell whether all of them are long.
+const TELLING_DELAYS: u32 = 3;
+/// An agent is away for this long at most, in a restart that matters to how cold endpoints are.
+const LONGEST_RESTART: Duration = Duration::from_secs(60);
 /// How many processes are remembered, those that are listed no more included.
 const MAX_REMEMBERED: usize = 8192;
 
@@ -40,9 +46,7 @@
 #[derive(Debug, Default)]
 pub struct StartTimes {
     known: HashMap<EndpointId, KnownProcess>,
-    /// The shortest delay between a start by its stamp and its news on the agent's clock; negative where that clock is
-    /// behind.
-    shortest_delay: Option<SignedSpan>,
+    delays: NewsDelays,
     /// The latest start by its stamp in the saved list; none without such a list.
     newest_saved: Option<Duration>,
 }
@@ -83,7 +87,7 @@
             Sighting::Discovery { silence: None }
                 if self.newest_saved.is_some_and(|newest| stamp > newest) =>
             {
-                self.first_listed(stamp, Duration::MAX, now)
+                self.first_listed(stamp, LONGEST_RESTART, now)
             }
             Sighting::Saved | Sighting::Discovery { silence: None } => stamp.min(now),
         };
@@ -98,31 +102,84 @@
         }
     }
 
-    /// When a process started that discovery lists for the first time.
+    /// When a process started that discovery lists for the first time, after a silence of so long.
     fn first_listed(&mut self, stamp: Duration, silence: Duration, now: Duration) -> Duration {
         let delay = SignedSpan::between(stamp, now);
-        let shortest = *self.shortest_delay.get_or_insert(delay);
-        let later_than_fastest = delay.longer_than(shortest);
-        let is_plausible =
-            later_than_fastest.is_some_and(|later| later <= silence.saturating_add(NEWS_SLACK));
-        match later_than_fastest {
-            Some(later) if is_plausible => now.saturating_sub(later),
+        let age = delay.longer_than(self.delays.clock_offset());
+        let longest = silence.saturating_add(LONGEST_NEWS_DELAY);
+        match age {
+            Some(age) if age <= longest => {
+                self.delays.note(delay);
+                now.saturating_sub(age)
+            }
+            // In the future, or impossibly long ago: the clocks are further apart than was known.
             _ => {
-                // Faster than the fastest, or impossibly late: the clocks are further apart than was known.
-                self.shortest_delay = Some(delay);
+                self.delays = NewsDelays::after_step(delay);
                 now
             }
         }
     }
 }
 
+/// The delays between starts, by their stamps, and their news, on the agent's clock.
+#[derive(Clone, Copy, Debug)]
+struct NewsDelays {
+    shortest: SignedSpan,
+    count: u32,
+}
+
+impl Default for NewsDelays {
+    fn default() -> Self {
+        NewsDelays {
+            shortest: SignedSpan::MAX,
+            count: 0,
+        }
+    }
+}
+
+impl NewsDelays {
+    /// A first delay that shows by itself that a clock was stepped.
+    fn after_step(delay: SignedSpan) -> Self {
+        NewsDelays {
+            shortest: delay,
+            count: TELLING_DELAYS,
+        }
+    }
+
+    fn note(&mut self, delay: SignedSpan) {
+        self.shortest = self.shortest.min(delay);
+        self.count = self.count.saturating_add(1);
+    }
+
+    /// How far the agent's clock is ahead of that of the stamps: where all of several delays are long, or one cannot
+    /// be, by the shortest of them. Shorter ones are ordinary, and leave stamps as they are.
+    fn clock_offset(&self) -> SignedSpan {
+        let is_telling = self.count >= TELLING_DELAYS;
+        if is_telling && !self.shortest.is_ordinary() {
+            self.shortest
+        } else {
+            SignedSpan::ZERO
+        }
+    }
+}
+
 /// A span that may be negative.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct SignedSpan {
     nanoseconds: i128,
 }
 
 impl SignedSpan {
+    const ZERO: SignedSpan = SignedSpan { nanoseconds: 0 };
+    const MAX: SignedSpan = SignedSpan {
+        nanoseconds: i128::MAX,
+    };
+
+    /// Whether it is a delay that clocks which agree bring about.
+    fn is_ordinary(self) -> bool {
+        (0..=ORDINARY_NEWS_DELAY.as_nanos() as i128).contains(&self.nanoseconds)
+    }
+
     fn between(from: Duration, to: Duration) -> Self {
         SignedSpan {
             nanoseconds: to.as_nanos() as i128 - from.as_nanos() as i128,
