--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -65,7 +65,7 @@
     max_message_bytes: usize,
     endpoint_list: RefCell<EndpointListReader>,
     /// When it last sent anything: the end of what it may have told before.
-    last_heard: Cell<Option<Duration>>,
+    last_contact: Cell<Option<Duration>>,
     /// Whether the decision engine wants the list to be watched.
     watch_sender: Sender<bool>,
     watch_receiver: Receiver<bool>,
@@ -105,7 +105,7 @@
             is_on_request: settings.requests_endpoint_list()?,
             max_message_bytes,
             endpoint_list,
-            last_heard: Cell::default(),
+            last_contact: Cell::default(),
             watch_sender,
             watch_receiver,
             // Whoever answers at all goes on within the time in which a connection comes up.
@@ -125,7 +125,7 @@
         let sighting = match origin {
             ListOrigin::StartFile => Sighting::Saved,
             ListOrigin::Discovery => Sighting::Discovery {
-                silence: self.last_heard.get().map(|last| now.saturating_sub(last)),
+                silence: self.last_contact.get().map(|last| now.saturating_sub(last)),
             },
         };
         let receipt = ListReceipt { now, sighting };
@@ -134,7 +134,7 @@
             .borrow_mut()
             .read(message, receipt, &mut named)?;
         if origin == ListOrigin::Discovery {
-            self.last_heard.set(Some(now));
+            self.last_contact.set(Some(now));
         }
         if update.is_full {
             self.upstream.retain(|id| update.names(*id));
@@ -233,7 +233,7 @@
         let messages = self.call(path).await?;
         pin!(messages);
         loop {
-            let message = next_message(&mut messages, || self.heard()).await?;
+            let message = next_message(&mut messages, || self.note_contact()).await?;
             has_received.set(true);
             self.receive_from_discovery(&message)?;
         }
@@ -248,9 +248,9 @@
     }
 
     /// Notes that a watch is alive: what has changed by now has been told on it.
-    fn heard(&self) {
-        if self.last_heard.get().is_some() {
-            self.last_heard.set(Some(self.event_loop.clock.now()));
+    fn note_contact(&self) {
+        if self.last_contact.get().is_some() {
+            self.last_contact.set(Some(self.event_loop.clock.now()));
         }
     }
 
@@ -288,16 +288,16 @@
     }
 }
 
-/// The next message; heartbeats only show that there is still someone, which `heard` is called for.
+/// The next message; heartbeats only show that there is still someone, which `on_heartbeat` is called for.
 async fn next_message(
     messages: &mut (impl Stream<Item = MessageOrHeartbeat> + Unpin),
-    heard: impl Fn(),
+    on_heartbeat: impl Fn(),
 ) -> Result<Json, ConnectionEnd> {
     loop {
         let next = async { messages.next().await.unwrap_or(Err(ConnectionEnd::Closed)) };
         match with_timeout(HEARTBEAT_TIMEOUT, next).await? {
             (_, Some(message)) => return Ok(message),
-            (_, None) => heard(),
+            (_, None) => on_heartbeat(),
         }
     }
 }
--- a/crates/agent/src/endpoint_start_times.rs
+++ b/crates/agent/src/endpoint_start_times.rs
@@ -2,7 +2,7 @@
 //!
 //! The list holds the wall clock of another machine, which may have been stepped, as may this one's have been before the
 //! agent started. What was observed bounds what the stamp says: a process that discovery lists for the first time has
-//! started since discovery was last heard of, and the shortest delay between a start and its news shows how far the two
+//! started since discovery was last in contact, and the shortest delay between a start and its news shows how far the two
 //! clocks are apart. In doubt a process is taken for younger than its stamp says, which costs it a part of its traffic
 //! for as long as it would warm up. Nothing here does input or output.
 use std::collections::HashMap;
@@ -28,7 +28,7 @@
     Saved,
     /// Discovery sent it.
     Discovery {
-        /// How long discovery had not been heard of before that; none if it had never been.
+        /// How long discovery had not sent anything before that; none if it had never been.
         silence: Option<Duration>,
     },
 }
--- a/crates/agent/src/event_loop.rs
+++ b/crates/agent/src/event_loop.rs
@@ -95,7 +95,7 @@
 
     /// Runs all tasks until `main` has ended, and returns its result.
     pub async fn run<T>(&self, main: impl Future<Output = T>) -> T {
-        let main = future::or(main, self.monitor.beat());
+        let main = future::or(main, self.monitor.run_heartbeat());
         self.monitor.watch(self.tasks.run(main)).await
     }
 
--- a/crates/agent/src/loop_monitor.rs
+++ b/crates/agent/src/loop_monitor.rs
@@ -167,7 +167,7 @@
     }
 
     /// Ends each wait of the loop in time, for as long as the agent runs.
-    pub async fn beat<T>(&self) -> T {
+    pub async fn run_heartbeat<T>(&self) -> T {
         loop {
             Timer::after(HEARTBEAT_INTERVAL).await;
         }
--- a/crates/agent/src/transport/connect.rs
+++ b/crates/agent/src/transport/connect.rs
@@ -58,16 +58,16 @@
 async fn connect_with_retries(address: SocketAddr) -> Result<TcpSocket, ConnectError> {
     let mut pause = FIRST_RETRY_PAUSE;
     for _ in 0..LOCAL_RETRIES {
-        match connect_once(address).await {
+        match try_connect(address).await {
             Err(ConnectError::Local(_)) => Timer::after(pause).await,
             result => return result,
         };
         pause *= 2;
     }
-    connect_once(address).await
+    try_connect(address).await
 }
 
-async fn connect_once(address: SocketAddr) -> Result<TcpSocket, ConnectError> {
+async fn try_connect(address: SocketAddr) -> Result<TcpSocket, ConnectError> {
     let kind = Type::STREAM.nonblocking();
     let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP));
     let socket = socket.map_err(ConnectError::Local)?;
--- a/crates/agent/tests/start_times.rs
+++ b/crates/agent/tests/start_times.rs
@@ -10,7 +10,7 @@
 /// A time on the agent's clock, far from zero.
 const NOW: Duration = Duration::from_secs(1_796_000_000);
 const HOUR: Duration = Duration::from_secs(3600);
-const HEARD_LATELY: Sighting = Sighting::Discovery {
+const RECENT_CONTACT: Sighting = Sighting::Discovery {
     silence: Some(Duration::from_millis(500)),
 };
 const FIRST_LIST: Sighting = Sighting::Discovery { silence: None };
@@ -60,12 +60,12 @@
         let now = NOW + Duration::from_secs(u64::from(number) * 20);
         let started = now - ms(delay);
         let shown = stamp(started, off_seconds);
-        let start = taken(&mut starts, number, shown, HEARD_LATELY, now);
+        let start = taken(&mut starts, number, shown, RECENT_CONTACT, now);
         assert!(start <= now);
         if number > unnoticed {
             assert!(started <= start, "{number}: {:?}", started - start);
         }
-        let again = taken(&mut starts, number, shown, HEARD_LATELY, now + HOUR);
+        let again = taken(&mut starts, number, shown, RECENT_CONTACT, now + HOUR);
         assert_eq!(again, start, "a start does not move");
     }
 }
@@ -77,7 +77,7 @@
 fn a_step_in_service_makes_nothing_look_older(#[case] off_seconds: i64) {
     let mut starts = StartTimes::default();
     for number in 0..4 {
-        starts.started(EndpointId(number), Some(NOW - ms(200)), HEARD_LATELY, NOW);
+        starts.started(EndpointId(number), Some(NOW - ms(200)), RECENT_CONTACT, NOW);
     }
     let now = NOW + HOUR;
     let started = now - ms(250);
@@ -85,7 +85,7 @@
         &mut starts,
         9,
         stamp(started, off_seconds),
-        HEARD_LATELY,
+        RECENT_CONTACT,
         now,
     );
     assert!(started <= start && start <= now, "{:?}", now - start);
@@ -98,14 +98,17 @@
     for (number, delay) in [(1, 5_900), (2, 100), (3, 3_000), (4, 1_500), (5, 6_000)] {
         let now = NOW + Duration::from_secs(u64::from(number) * 20);
         let shown = now - ms(delay);
-        assert_eq!(taken(&mut starts, number, shown, HEARD_LATELY, now), shown);
+        assert_eq!(
+            taken(&mut starts, number, shown, RECENT_CONTACT, now),
+            shown
+        );
     }
 }
 
 #[test]
 fn what_happened_while_discovery_was_silent_may_be_as_old_as_that() {
     let mut starts = StartTimes::default();
-    taken(&mut starts, 1, NOW - ms(100), HEARD_LATELY, NOW);
+    taken(&mut starts, 1, NOW - ms(100), RECENT_CONTACT, NOW);
     let after_outage = Sighting::Discovery {
         silence: Some(Duration::from_secs(60)),
     };
