A stamp of a start stands unless it is in the future or too long ago to be news

Cause: news of a start take over a second in the staging fleet, so that the shortest delay was taken for a difference of clocks. Change: a plausible stamp stands; the shortest delay counts only once a stamp was in the future or older than discovery's silence and six seconds. A clock that is fast by less cannot be told from slow news: the case that wanted it is gone from the test with its claim, as nothing observed could show it.

--- a/crates/agent/src/endpoint_start_times.rs
+++ b/crates/agent/src/endpoint_start_times.rs
@@ -2,9 +2,10 @@
 //!
 //! The list holds the wall clock of another machine, which may have been stepped, as may this one's have been before the
 //! agent started. What was observed bounds what the stamp says: a process that discovery lists for the first time has
-//! started since discovery was last in contact, and the shortest delay between a start and its news shows how far the two
-//! clocks are apart. In doubt a process is taken for younger than its stamp says, which costs it a part of its traffic
-//! for as long as it would warm up. Nothing here does input or output.
+//! started since discovery was last in contact, but for the time that news take. A stamp that says otherwise shows that
+//! the clocks are apart; the shortest delay then shows how far, and in doubt a process is taken for younger, which costs
+//! it a part of its traffic for as long as it would warm up. A clock that is fast by less than news may take cannot be
+//! told from slow news. Nothing here does input or output.
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -12,10 +13,6 @@
 
 /// News of a start come so late at the most, beyond a silence of discovery; a longer delay shows that a clock was stepped.
 const LONGEST_NEWS_DELAY: Duration = Duration::from_secs(6);
-/// The fastest of several news come within this time, if the clocks agree.
-const ORDINARY_NEWS_DELAY: Duration = Duration::from_secs(1);
-/// So many delays tell whether all of them are long.
-const TELLING_DELAYS: u32 = 3;
 /// An agent is away for this long at most, in a restart that matters to how cold endpoints are.
 const LONGEST_RESTART: Duration = Duration::from_secs(60);
 /// How many processes are remembered, those that are listed no more included.
@@ -46,7 +43,9 @@
 #[derive(Debug, Default)]
 pub struct StartTimes {
     known: HashMap<EndpointId, KnownProcess>,
-    delays: NewsDelays,
+    /// How far the agent's clock is ahead of that of the stamps, by the shortest delay between a start and its news;
+    /// none while all delays are such as clocks that agree bring about.
+    clock_offset: Option<SignedSpan>,
     /// The latest start by its stamp in the saved list; none without such a list.
     newest_saved: Option<Duration>,
 }
@@ -105,81 +104,35 @@
     /// When a process started that discovery lists for the first time, after a silence of so long.
     fn first_listed(&mut self, stamp: Duration, silence: Duration, now: Duration) -> Duration {
         let delay = SignedSpan::between(stamp, now);
-        let age = delay.longer_than(self.delays.clock_offset());
         let longest = silence.saturating_add(LONGEST_NEWS_DELAY);
-        match age {
-            Some(age) if age <= longest => {
-                self.delays.note(delay);
+        let is_plausible = |age: &Duration| *age <= longest;
+        if let Some(age) = delay.longer_than(SignedSpan::ZERO).filter(is_plausible) {
+            self.clock_offset = None;
+            return now.saturating_sub(age);
+        }
+        let offset = self.clock_offset.unwrap_or(delay);
+        match delay.longer_than(offset).filter(is_plausible) {
+            Some(age) => {
+                self.clock_offset = Some(offset);
                 now.saturating_sub(age)
             }
-            // In the future, or impossibly long ago: the clocks are further apart than was known.
-            _ => {
-                self.delays = NewsDelays::after_step(delay);
+            // The clocks are further apart than was known.
+            None => {
+                self.clock_offset = Some(delay);
                 now
             }
         }
     }
 }
 
-/// The delays between starts, by their stamps, and their news, on the agent's clock.
-#[derive(Clone, Copy, Debug)]
-struct NewsDelays {
-    shortest: SignedSpan,
-    count: u32,
-}
-
-impl Default for NewsDelays {
-    fn default() -> Self {
-        NewsDelays {
-            shortest: SignedSpan::MAX,
-            count: 0,
-        }
-    }
-}
-
-impl NewsDelays {
-    /// A first delay that shows by itself that a clock was stepped.
-    fn after_step(delay: SignedSpan) -> Self {
-        NewsDelays {
-            shortest: delay,
-            count: TELLING_DELAYS,
-        }
-    }
-
-    fn note(&mut self, delay: SignedSpan) {
-        self.shortest = self.shortest.min(delay);
-        self.count = self.count.saturating_add(1);
-    }
-
-    /// How far the agent's clock is ahead of that of the stamps: where all of several delays are long, or one cannot
-    /// be, by the shortest of them. Shorter ones are ordinary, and leave stamps as they are.
-    fn clock_offset(&self) -> SignedSpan {
-        let is_telling = self.count >= TELLING_DELAYS;
-        if is_telling && !self.shortest.is_ordinary() {
-            self.shortest
-        } else {
-            SignedSpan::ZERO
-        }
-    }
-}
-
 /// A span that may be negative.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct SignedSpan {
     nanoseconds: i128,
 }
 
 impl SignedSpan {
     const ZERO: SignedSpan = SignedSpan { nanoseconds: 0 };
-    const MAX: SignedSpan = SignedSpan {
-        nanoseconds: i128::MAX,
-    };
-
-    /// Whether it is a delay that clocks which agree bring about.
-    fn is_ordinary(self) -> bool {
-        (0..=ORDINARY_NEWS_DELAY.as_nanos() as i128).contains(&self.nanoseconds)
-    }
-
     fn between(from: Duration, to: Duration) -> Self {
         SignedSpan {
             nanoseconds: to.as_nanos() as i128 - from.as_nanos() as i128,
