After a hold-up, late reports of what came meanwhile are dated by the look before it

Trace: the thread that reports events woke the loop for its heartbeat, lost its core, and reported the request some milliseconds later, in the next wait, where it was taken for new. Change: a hold-up is remembered for 200 ms; what is reported by then on a socket that was watched before it is dated by the look before it. Reports after that, and on sockets watched since, are as before.

--- a/crates/agent/src/loop_monitor.rs
+++ b/crates/agent/src/loop_monitor.rs
@@ -22,6 +22,8 @@
 const IMMEDIATE_WAIT: Duration = Duration::from_millis(5);
 /// A look for events that ends a wait reports them one by one, while the next pass begins already; that takes no longer.
 const REPORTING_SLACK: Duration = Duration::from_millis(20);
+/// What came while the loop was held up is reported within this time after it.
+const AFTER_HOLD_UP: Duration = Duration::from_millis(200);
 /// A hold-up of so much is counted...
 const COUNTED_HOLD_UP: Duration = Duration::from_millis(25);
 /// ... and one of so much is logged, as it takes a part of what requests have to live.
@@ -40,6 +42,18 @@
     pub wait_started: Instant,
     /// Whether a pass was running.
     pub is_running: bool,
+    /// The last time for which the loop was held up.
+    pub hold_up: Option<HoldUp>,
+}
+
+/// A time for which the loop did not look for events. What came in it may be reported some time later still: the thread
+/// that reports it has to get its share of a core first, and other events go before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldUp {
+    /// When the loop had looked for events before.
+    pub looked_at: Instant,
+    /// Until when a report may be of something that came meanwhile.
+    pub reported_until: Instant,
 }
 
 impl LoopPhase {
@@ -50,9 +64,19 @@
             pass_started: now,
             wait_started: now,
             is_running: true,
+            hold_up: None,
         }
     }
 
+    /// Notes that the loop was held up until `now`, and had looked for events at `looked_at`.
+    fn held_up(&mut self, looked_at: Instant, now: Instant) {
+        let earlier = self.hold_up.filter(|earlier| now <= earlier.reported_until);
+        self.hold_up = Some(HoldUp {
+            looked_at: earlier.map_or(looked_at, |earlier| earlier.looked_at.min(looked_at)),
+            reported_until: now + AFTER_HOLD_UP,
+        });
+    }
+
     /// The earliest time at which input may have arrived that was reported at `reported` in this phase, if its socket
     /// was watched by then.
     ///
@@ -61,6 +85,11 @@
     /// heartbeat lets it, the process did not run, and the input may have come at its beginning.
     #[must_use]
     pub fn earliest_arrival(self, reported: Instant) -> Instant {
+        if let Some(hold_up) = self.hold_up
+            && reported <= hold_up.reported_until
+        {
+            return hold_up.looked_at;
+        }
         let is_later_look = reported > self.pass_started + REPORTING_SLACK;
         if self.is_running && is_later_look {
             return self.pass_started;
@@ -94,6 +123,11 @@
 
     fn begin_pass(&self, now: Instant) {
         let mut phase = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = now.saturating_duration_since(phase.wait_started);
+        if !phase.is_running && waited > HEARTBEAT_INTERVAL + SCHEDULING_SLACK {
+            let looked_at = phase.pass_started;
+            phase.held_up(looked_at, now);
+        }
         phase.previous_pass_started = phase.pass_started;
         phase.pass_started = now;
         phase.is_running = true;
@@ -101,6 +135,10 @@
 
     fn begin_wait(&self, now: Instant) {
         let mut phase = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let looked_at = phase.pass_started;
+        if now.saturating_duration_since(looked_at) >= LOGGED_HOLD_UP {
+            phase.held_up(looked_at, now);
+        }
         phase.wait_started = now;
         phase.is_running = false;
     }
--- a/crates/agent/tests/arrival.rs
+++ b/crates/agent/tests/arrival.rs
@@ -1,7 +1,7 @@
 //! Laws of the earliest time at which input may have arrived, by the phase in which the event loop learned of it.
 use std::time::{Duration, Instant};
 
-use lilacgate_agent::loop_monitor::LoopPhase;
+use lilacgate_agent::loop_monitor::{HoldUp, LoopPhase};
 use proptest::prelude::{Strategy, proptest};
 use rstest::rstest;
 
@@ -14,9 +14,29 @@
         pass_started,
         wait_started,
         is_running,
+        hold_up: None,
     }
 }
 
+/// After a hold-up that ended at 900, behind a look at 100, a thread reports late what came meanwhile.
+#[rstest]
+#[case::amid_the_next_wait(950, 100)]
+#[case::within_the_time_for_late_reports(1_100, 100)]
+#[case::later(1_101, 1_101)]
+fn reports_after_a_hold_up(#[case] reported: u64, #[case] expected: u64) {
+    let zero = Instant::now();
+    let after = |milliseconds| zero + Duration::from_millis(milliseconds);
+    let hold_up = HoldUp {
+        looked_at: after(100),
+        reported_until: after(1_100),
+    };
+    let waiting = LoopPhase {
+        hold_up: Some(hold_up),
+        ..phase(zero, [900, 1_050, 1_049], false)
+    };
+    assert_eq!(waiting.earliest_arrival(after(reported)), after(expected));
+}
+
 #[rstest]
 // A wait that was over at once: the input came while the pass before it ran.
 #[case::during_a_long_pass([0, 700, 100], false, 700, 100)]
