--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -173,7 +173,7 @@
         }
         if connection.end_reason.get() == Some(end) && connection.replies.has_sent_any() {
             let remainder = connection.remainder(end);
-            self.linger(&stream, remainder).await;
+            self.linger(&stream, end, remainder).await;
         }
         drop(stream);
         self.connections.borrow_mut().remove(&serial);
--- a/crates/agent/src/clients/lingering_close.rs
+++ b/crates/agent/src/clients/lingering_close.rs
@@ -4,6 +4,7 @@
 //! not read yet.
 use std::io::Read;
 use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
 
 use futures_lite::{FutureExt, future};
 
@@ -14,6 +15,9 @@
 /// The most bytes to read at a time where they are discarded.
 const DISCARD_CHUNK: usize = 4 << 10;
 
+/// How long a connection that was evicted waits for its client's end: time enough for its last reply to arrive.
+const EVICTED_LINGER: Duration = Duration::from_millis(50);
+
 /// What becomes of input on a connection that takes no more commands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Remainder {
@@ -26,7 +30,12 @@
 impl Clients {
     /// Shuts the sending side down, and waits for the client's end: no longer than a connection may take to be
     /// established, nor beyond the agent's own shutdown.
-    pub(super) async fn linger(&self, stream: &TcpSocket, remainder: Remainder) {
+    pub(super) async fn linger(
+        &self,
+        stream: &TcpSocket,
+        end: ConnectionEnd,
+        remainder: Remainder,
+    ) {
         stream.get_ref().shutdown(Shutdown::Write).ok();
         let shutdown = async {
             self.draining.notified().await;
@@ -37,9 +46,13 @@
             Err(ConnectionEnd::ShuttingDown)
         };
         let client_end = async { Err::<(), _>(self.wait_for_client_end(stream, remainder).await) };
-        with_timeout(self.connect_timeout, client_end.or(shutdown))
-            .await
-            .ok();
+        // One that made room for another must not keep its place from it.
+        let timeout = if end == ConnectionEnd::Evicted {
+            self.connect_timeout.min(EVICTED_LINGER)
+        } else {
+            self.connect_timeout
+        };
+        with_timeout(timeout, client_end.or(shutdown)).await.ok();
     }
 
     /// Waits for the client's end on a connection that takes no more commands; returns
