--- a/crates/agent/src/clients/reply_queue.rs
+++ b/crates/agent/src/clients/reply_queue.rs
@@ -109,8 +109,10 @@
     /// Takes the first reply if it is ready. Its bytes count as held until it is dropped.
     pub(super) fn take_ready(&self) -> Option<ReadyReply> {
         let mut pending = self.pending.borrow_mut();
-        let ready = pending.pop_front_if(|reply| matches!(reply, PendingReply::Ready(_)));
-        let Some(PendingReply::Ready(reply)) = ready else {
+        if !matches!(pending.front(), Some(PendingReply::Ready(_))) {
+            return None;
+        }
+        let Some(PendingReply::Ready(reply)) = pending.pop_front() else {
             return None;
         };
         self.first_position.set(self.first_position.get() + 1);
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -12,7 +12,7 @@
 use crate::event_loop::EventLoop;
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::outbound::PeerSender;
-use crate::transport::uninterrupted;
+use crate::transport::{at_start, uninterrupted};
 
 /// The longest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 256;
@@ -55,11 +55,12 @@
         event_loop: Rc<EventLoop>,
         addresses: PeerAddresses,
     ) -> Result<Rc<Self>, StartError> {
-        let socket =
-            Async::<UdpSocket>::bind(addresses.listen).map_err(|error| StartError::PeerListen {
+        let socket = at_start(|| Async::<UdpSocket>::bind(addresses.listen)).map_err(|error| {
+            StartError::PeerListen {
                 address: addresses.listen,
                 error,
-            })?;
+            }
+        })?;
         Ok(Rc::new(Peers {
             event_loop,
             socket,
--- a/crates/agent/src/transport/mod.rs
+++ b/crates/agent/src/transport/mod.rs
@@ -22,7 +22,9 @@
 pub use notifier::{Notifier, WakeSignal};
 pub use ring_buffer::RingBuffer;
 pub use service_address::ServiceAddress;
-pub use system_call::{has_no_input, is_of_one_connection, is_shortage, peek, uninterrupted};
+pub use system_call::{
+    at_start, has_no_input, is_of_one_connection, is_shortage, peek, uninterrupted,
+};
 
 /// A TCP connection that the event loop watches. The stream is shared, so that it outlives a failed attempt to watch it.
 pub type TcpSocket = Async<Arc<TcpStream>>;
--- a/crates/agent/src/transport/system_call.rs
+++ b/crates/agent/src/transport/system_call.rs
@@ -72,6 +72,24 @@
         )
 }
 
+/// How often something is tried again at the start of the agent while the machine lacks the means: for two seconds.
+const START_TRIES: u32 = 200;
+
+/// Does something at the start of the agent, where nothing else runs yet, and does it again while this machine lacks the
+/// means for it. It blocks.
+///
+/// # Errors
+/// Any other error, or the last one of a shortage that lasts for two seconds.
+pub fn at_start<T>(mut action: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    for _ in 0..START_TRIES {
+        match uninterrupted(&mut action) {
+            Err(error) if is_shortage(&error) => std::thread::sleep(SHORTAGE_PAUSE),
+            result => return result,
+        }
+    }
+    action()
+}
+
 /// Waits before a call is made again that lacked memory.
 pub(super) async fn pause_for_shortage() {
     Timer::after(SHORTAGE_PAUSE).await;
--- a/crates/test-bed/src/check/checker.rs
+++ b/crates/test-bed/src/check/checker.rs
@@ -235,6 +235,7 @@
         let kind = request.kind;
         let runs_twice =
             kind == RequestKind::NonIdempotent && request.attempts > 0 && !request.orphaned;
+        self.report.ran_twice += usize::from(runs_twice);
         if !request.in_flight.is_empty() || runs_twice {
             self.report.duplicated += 1;
         }
--- a/crates/test-bed/src/check/mod.rs
+++ b/crates/test-bed/src/check/mod.rs
@@ -54,6 +54,8 @@
     pub lost: usize,
     /// Non-idempotent requests that ran twice, and requests with overlapping attempts.
     pub duplicated: usize,
+    /// Non-idempotent requests that ran twice, which [`Self::duplicated`] counts too.
+    pub ran_twice: usize,
     /// Requests that were rejected though an allowed endpoint was ready.
     pub wrongly_rejected: usize,
     /// Other broken rules, in words.
@@ -79,6 +81,7 @@
             .max(other.latest_forbidden_attempt);
         self.lost += other.lost;
         self.duplicated += other.duplicated;
+        self.ran_twice += other.ran_twice;
         self.wrongly_rejected += other.wrongly_rejected;
         self.violations.extend(other.violations.iter().cloned());
     }
--- a/crates/test-bed/src/endpoint_server.rs
+++ b/crates/test-bed/src/endpoint_server.rs
@@ -149,14 +149,23 @@
     /// Serves a connection until it ends or a command has no id of a test client.
     fn serve(&self, connection: &TcpStream) {
         let mut reader = BufReader::new(connection.try_clone().expect("a second handle"));
+        let mut last_id = None;
         while let Some(command) = read_resp(&mut reader) {
-            let Some(id) = request_id(&command) else {
+            last_id = request_id(&command);
+            let Some(id) = last_id else {
                 return;
             };
             if self.serve_request(connection, id, &command).is_err() {
                 return;
             }
         }
+        // Whoever ends the connection gives up what is out on it.
+        if let Some(id) = last_id {
+            self.event_log.push(Event::AttemptCompleted {
+                id,
+                endpoint: self.number,
+            });
+        }
     }
 
     fn serve_request(
--- a/crates/test-bed/src/lib.rs
+++ b/crates/test-bed/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod release_scenarios;
 pub mod scenario_text;
 pub mod scripted_server;
+pub mod soak;
 pub mod start_file;
 mod subscribers;
 pub mod test_bed;
--- a/crates/test-bed/src/main.rs
+++ b/crates/test-bed/src/main.rs
@@ -1,10 +1,11 @@
 //! The command line of the test bed: the demonstration and the measurements, with the agent beside it.
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use lilacgate_test_bed::agent_process::AgentProcess;
-use lilacgate_test_bed::{crash_test, demo, measure_releases, measure_timeline};
+use lilacgate_test_bed::{crash_test, demo, measure_releases, measure_timeline, soak};
 
 /// Runs an agent against stand-ins on loopback. Exit code 1: something was not as it should be.
 #[derive(Debug, Parser)]
@@ -23,6 +24,18 @@
     Demo,
     /// Figures of a subsystem, the line `measure NAME: ..` last
     Measure { name: Measurement },
+    /// Runs of an agent whose system calls fail, whose clock is stepped and that is signalled, killed and crowded
+    Soak {
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many runs
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Begin no run after so many seconds
+        #[arg(long)]
+        seconds: Option<u64>,
+    },
     /// Writes records into a store until it is killed; prints the number of each that is kept
     #[command(hide = true)]
     WriteStore { folder: PathBuf, first: u32 },
@@ -50,6 +63,20 @@
             }
             return ExitCode::FAILURE;
         }
+        Command::Soak {
+            seed,
+            seeds,
+            seconds,
+        } => {
+            let limit = seconds.map(Duration::from_secs);
+            let report = soak::run(&program, seed..seed + seeds, limit);
+            println!("{report:#?}");
+            return if report.is_clean() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            };
+        }
         Command::Demo => demo::run,
         Command::Measure {
             name: Measurement::Releases,
--- a/crates/test-bed/src/test_bed/agent.rs
+++ b/crates/test-bed/src/test_bed/agent.rs
@@ -12,6 +12,7 @@
 use crate::framing::{encode_command, read_resp};
 use crate::listener::lock;
 use crate::loopback_address::{unused_tcp_address, unused_udp_address};
+use crate::soak;
 
 /// A port that was unused may be taken before the agent listens on it; then it is started again with others.
 const START_ATTEMPTS: usize = 5;
@@ -101,9 +102,16 @@
         ];
         let start_file = self.file("start.json");
         std::fs::write(&start_file, self.start_file.render(&values))?;
+        let fault_script = self.file("faults.json");
+        if let Some(script) = &self.faults {
+            // Each agent counts from zero.
+            self.earlier_faults.extend(soak::injected(script));
+            script.save(&fault_script)?;
+        }
         let options = SpawnOptions {
             operator_file,
-            ..SpawnOptions::default()
+            open_file_limit: None,
+            fault_script: self.faults.as_ref().map(|_| fault_script.as_path()),
         };
         self.agent = Some(AgentProcess::spawn(&self.program, &start_file, options));
         Ok(())
@@ -172,6 +180,23 @@
         AgentTermination { exited, log }
     }
 
+    /// Whether the agent runs.
+    pub fn is_agent_running(&mut self) -> bool {
+        self.agent.as_mut().is_some_and(AgentProcess::is_running)
+    }
+
+    /// Sends a signal to the agent, if it runs, named as for `kill`.
+    ///
+    /// # Panics
+    /// If the agent cannot be signalled.
+    pub fn signal_agent(&mut self, name: &str) {
+        if let Some(agent) = &mut self.agent
+            && agent.is_running()
+        {
+            agent.signal(name);
+        }
+    }
+
     /// Kills the agent.
     pub fn kill_agent(&mut self) {
         self.agent = None;
--- a/crates/test-bed/src/test_bed/mod.rs
+++ b/crates/test-bed/src/test_bed/mod.rs
@@ -16,6 +16,8 @@
 use rand_pcg::Pcg64Mcg;
 
 pub use self::agent::AgentTermination;
+use lilacgate_fault_script::script::{Rule, Script};
+
 use crate::agent_process::AgentProcess;
 use crate::client::{Client, Traffic};
 use crate::endpoint_list::EndpointListService;
@@ -25,6 +27,7 @@
 use crate::release_control_plane::{
     ReleaseControlPlane, ReleaseState, VoteHandler, ignore_votes, wire_name,
 };
+use crate::soak;
 use crate::start_file::{EndpointEntry, StartFileTemplate};
 
 /// The names of the zones.
@@ -55,6 +58,10 @@
     /// Where everything listens.
     host: Ipv4Addr,
     has_operator_file: bool,
+    /// Which system calls of the agents fail, if any do.
+    faults: Option<Script>,
+    /// What earlier agents' faults came to.
+    earlier_faults: Vec<(String, u64)>,
     clients: Vec<JoinHandle<()>>,
     stopping_clients: Arc<AtomicBool>,
     next_request_id: Arc<AtomicU32>,
@@ -91,6 +98,8 @@
             agent_address: unused_tcp_address(host),
             host,
             has_operator_file: false,
+            faults: None,
+            earlier_faults: Vec::new(),
             clients: Vec::new(),
             stopping_clients: Arc::default(),
             next_request_id: Arc::default(),
@@ -98,6 +107,26 @@
         }
     }
 
+    /// Makes system calls of all agents that are started from now on fail by these rules.
+    pub fn set_faults(&mut self, seed: u64, rules: Vec<Rule>) {
+        self.faults = Some(Script {
+            seed,
+            counts: self.folder.path().join("fault-counts"),
+            rules,
+        });
+    }
+
+    /// The faults of all agents so far, and how often each has hit a call.
+    pub fn injected_faults(&self) -> Vec<(String, u64)> {
+        let current = self.faults.iter().flat_map(soak::injected);
+        self.earlier_faults.iter().cloned().chain(current).collect()
+    }
+
+    /// Where the agent listens for clients.
+    pub fn agent_address(&self) -> SocketAddr {
+        self.agent_address
+    }
+
     /// Sets a field of the start file to a JSON value.
     ///
     /// # Panics
