--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -371,6 +371,11 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble={trouble}")
+
+    def end(*_):
+        raise KeyboardInterrupt  # Lets the case end its agents.
+
+    signal.signal(signal.SIGTERM, end)
     with tempfile.TemporaryDirectory() as temporary:
         try:
             broken = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), 110))
