Move the state of client connections into a module of its own

connection.rs held both the state that eviction and shutdown share and the task that reads and writes.

--- a/crates/agent/src/clients/admission.rs
+++ b/crates/agent/src/clients/admission.rs
@@ -6,7 +6,7 @@
 
 use super::Clients;
 use super::command::{self, Command, CommandError, RequestArguments};
-use super::connection::ConnectionState;
+use super::connection_state::ConnectionState;
 use super::eviction::Eviction;
 use crate::log::{Count, count};
 use crate::resp;
--- /dev/null
+++ b/crates/agent/src/clients/connection_state.rs
@@ -0,0 +1,131 @@
+//! The state of an open client connection that its own task shares with eviction and shutdown.
+use std::cell::Cell;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use super::byte_budget::ByteBudget;
+use super::lingering_close::TrailingInput;
+use super::reply_queue::{ReadyReply, ReplyQueue};
+use crate::log::{ConnectionEnd, Count, count};
+use crate::transport::{TcpSocket, has_no_input};
+
+/// The state of an open connection that is shared with other tasks, such as eviction and shutdown.
+pub(super) struct ConnectionState {
+    pub(super) replies: ReplyQueue,
+    stream: Weak<TcpSocket>,
+    /// Whether the connection may have requests in flight; its first request claims the slot.
+    pub(super) has_request_slot: Cell<bool>,
+    pub(super) has_received_command: Cell<bool>,
+    /// Whether bytes have been read that do not form a whole command yet.
+    has_partial_command: Rc<Cell<bool>>,
+    /// Why the connection is to be closed as soon as it is between commands; `None` while it stays open.
+    pub(super) end_reason: Cell<Option<ConnectionEnd>>,
+    /// Whether the last command was not complete within its time limit.
+    pub(super) has_command_timed_out: Cell<bool>,
+    /// Whether a partly read command has been answered with `-BUSY`; no further command is executed then.
+    pub(super) is_command_refused: Cell<bool>,
+    /// When a command last arrived or a reply was last written.
+    pub(super) last_activity: Cell<Duration>,
+}
+
+impl ConnectionState {
+    pub(super) fn new(
+        stream: &Rc<TcpSocket>,
+        has_partial_command: Rc<Cell<bool>>,
+        opened: Duration,
+        held_bytes: ByteBudget,
+    ) -> Self {
+        ConnectionState {
+            replies: ReplyQueue::new(held_bytes),
+            stream: Rc::downgrade(stream),
+            has_request_slot: Cell::default(),
+            has_received_command: Cell::default(),
+            has_partial_command,
+            end_reason: Cell::default(),
+            has_command_timed_out: Cell::default(),
+            is_command_refused: Cell::default(),
+            last_activity: Cell::new(opened),
+        }
+    }
+
+    /// Closes the connection as soon as it is between commands.
+    pub(super) fn end(&self, reason: ConnectionEnd) {
+        self.end_reason.set(Some(reason));
+        self.replies.wake();
+    }
+
+    /// Rejects a command that has been read in part or is waiting to be read, without waiting for the rest of it.
+    /// Such a command must not be left without a reply, and nothing has been executed for it yet.
+    pub(super) fn refuse_partial_command(&self) {
+        let is_empty = || {
+            self.stream
+                .upgrade()
+                .is_none_or(|stream| has_no_input(&stream))
+        };
+        if self.is_command_refused.get() || !self.has_partial_command.get() && is_empty() {
+            return;
+        }
+        count(Count::RequestsRefused);
+        self.is_command_refused.set(true);
+        self.replies.push_line("-BUSY");
+    }
+
+    /// Whether the connection is between commands and not about to be closed.
+    pub(super) fn is_idle(&self) -> bool {
+        self.end_reason.get().is_none() && self.is_between_commands()
+    }
+
+    /// Whether the connection can be closed without losing a command: all replies have been written, no command has
+    /// been read in part, and none is waiting to be read.
+    fn is_between_commands(&self) -> bool {
+        if !self.replies.is_empty() {
+            return false;
+        }
+        self.is_input_over()
+            || !self.has_partial_command.get()
+                && self
+                    .stream
+                    .upgrade()
+                    .is_some_and(|stream| has_no_input(&stream))
+    }
+
+    /// Whether further input is ignored. What follows a malformed command cannot be parsed either, and what follows a
+    /// command that was refused or timed out is the rest of that command.
+    fn is_input_over(&self) -> bool {
+        let is_unreadable = matches!(
+            self.end_reason.get(),
+            Some(
+                ConnectionEnd::Malformed | ConnectionEnd::TooLong | ConnectionEnd::TooManyMessages
+            )
+        );
+        is_unreadable || self.has_command_timed_out.get() || self.is_command_refused.get()
+    }
+
+    /// Returns what is done with input that follows the last executed command.
+    pub(super) fn trailing_input(&self, end: ConnectionEnd) -> TrailingInput {
+        match end {
+            ConnectionEnd::Malformed | ConnectionEnd::TooLong | ConnectionEnd::TooManyMessages => {
+                TrailingInput::Discarded
+            }
+            _ if self.is_command_refused.get() => TrailingInput::Discarded,
+            _ => TrailingInput::Unread,
+        }
+    }
+
+    /// Waits for the next reply to write.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason to close the connection, once it is between commands.
+    pub(super) async fn next_reply(&self) -> Result<ReadyReply, ConnectionEnd> {
+        loop {
+            if let Some(reply) = self.replies.take_ready() {
+                return Ok(reply);
+            }
+            if let Some(reason) = self.end_reason.get().filter(|_| self.is_between_commands()) {
+                return Err(reason);
+            }
+            self.replies.changed().await;
+        }
+    }
+}
--- a/crates/agent/src/clients/eviction.rs
+++ b/crates/agent/src/clients/eviction.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::StreamExt;
 
-use super::connection::ConnectionState;
+use super::connection_state::ConnectionState;
 use super::{COMMAND_TIMEOUT, Clients};
 use crate::log::ConnectionEnd;
 
--- a/crates/agent/src/clients/mod.rs
+++ b/crates/agent/src/clients/mod.rs
@@ -14,6 +14,7 @@
 mod byte_budget;
 mod command;
 mod connection;
+mod connection_state;
 mod eviction;
 mod in_flight_ids;
 mod lingering_close;
@@ -32,7 +33,7 @@
 
 use self::byte_budget::ByteBudget;
 use self::command::NamedClass;
-use self::connection::ConnectionState;
+use self::connection_state::ConnectionState;
 use self::in_flight_ids::InFlightIds;
 use crate::event_loop::EventLoop;
 use crate::transport::{Notifier, WakeSignal};
