Idle client connections hold no request slot, so other clients' requests are not refused

Cause: a connection claimed a request slot with its first request and kept it until it ended. Slots exist so that at most four fifths of the connections have requests in flight and the rest can always be evicted; an idle connection, or one that has stopped in the middle of a command, needs none. The claim evicted an idle holder only after the connect timeout, and one that had stopped in a command never.

Against the byte budget: the requests have no body.

Change: the slot is free again once all replies of the connection are written. No connection is evicted for a slot any more, so the kind of eviction is gone. Connections that are being closed and still owe an answer count, since they hold their place.

--- a/crates/agent/src/clients/admission.rs
+++ b/crates/agent/src/clients/admission.rs
@@ -7,12 +7,11 @@
 use super::Clients;
 use super::command::{self, Command, CommandError, RequestArguments};
 use super::connection_state::ConnectionState;
-use super::eviction::Eviction;
 use crate::log::{Count, count};
 use crate::resp;
 use crate::unanswered::FinalAnswer;
 
-/// One in this many connections gets no request slot: it is there only to have its requests rejected.
+/// One in this many connections gets no request slot while the others have requests in flight: its requests are rejected.
 const CONNECTIONS_PER_ONE_WITHOUT_SLOT: usize = 5;
 
 impl Clients {
@@ -99,12 +98,13 @@
             || self.held_bytes.held() + size > self.max_held_bytes
     }
 
-    /// Returns whether the connection may have requests in flight. Its first request claims a slot, which it keeps; if
-    /// no slot is free, an idle connection is evicted to free one.
+    /// Returns whether the connection may have requests in flight. Its first request in flight claims a slot, which the
+    /// connection keeps until all of its replies are written.
     fn claim_request_slot(&self, connection: &ConnectionState) -> bool {
         if !connection.has_request_slot.get() {
-            let is_free = self.has_free_request_slot() || self.evict_idle(Eviction::ForRequestSlot);
-            connection.has_request_slot.set(is_free);
+            connection
+                .has_request_slot
+                .set(self.has_free_request_slot());
         }
         connection.has_request_slot.get()
     }
@@ -113,9 +113,7 @@
         let connections = self.connections.borrow();
         let used = connections
             .values()
-            .filter(|connection| {
-                connection.has_request_slot.get() && connection.end_reason.get().is_none()
-            })
+            .filter(|connection| connection.has_request_slot.get())
             .count();
         let without_slot = self
             .max_connections
--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -85,6 +85,9 @@
                 // The bytes count as held until the socket has taken all of them.
                 drop(reply);
                 connection.last_activity.set(self.event_loop.clock.now());
+                if connection.replies.is_empty() {
+                    connection.has_request_slot.set(false);
+                }
             }
         }
     }
--- a/crates/agent/src/clients/connection_state.rs
+++ b/crates/agent/src/clients/connection_state.rs
@@ -13,7 +13,8 @@
 pub(super) struct ConnectionState {
     pub(super) replies: ReplyQueue,
     stream: Weak<TcpSocket>,
-    /// Whether the connection may have requests in flight; its first request claims the slot.
+    /// Whether the connection may have requests in flight. The first request claims the slot; it is free again once all
+    /// replies are written.
     pub(super) has_request_slot: Cell<bool>,
     pub(super) has_received_command: Cell<bool>,
     /// Whether bytes have been read that do not form a whole command yet.
--- a/crates/agent/src/clients/eviction.rs
+++ b/crates/agent/src/clients/eviction.rs
@@ -14,20 +14,11 @@
 /// How many sweeps for idle connections there are within one connect timeout.
 const SWEEPS_IN_CONNECT_TIMEOUT: u32 = 4;
 
-/// What an eviction is to free.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Eviction {
-    /// A place for another connection.
-    ForConnection,
-    /// A request slot; only a connection that has one is evicted.
-    ForRequestSlot,
-}
-
 impl Clients {
     /// Evicts the connection that has been idle longest, and returns whether there was one. Connections that have not
     /// sent a whole command within [`FIRST_COMMAND_GRACE`] are evicted first. At the bound on open connections, any
     /// connection between two commands may be evicted; below it, only one that has been idle for the connect timeout.
-    pub(super) fn evict_idle(&self, eviction: Eviction) -> bool {
+    pub(super) fn evict_idle(&self) -> bool {
         let now = self.event_loop.clock.now();
         let is_at_bound = self.connections.borrow().len() >= self.max_connections;
         let min_idle_time = if is_at_bound {
@@ -36,9 +27,6 @@
             self.connect_timeout
         };
         let is_evictable = |connection: &&Rc<ConnectionState>| {
-            if eviction == Eviction::ForRequestSlot && !connection.has_request_slot.get() {
-                return false;
-            }
             let is_used = connection.has_received_command.get();
             let grace = if is_used {
                 min_idle_time
--- a/crates/agent/src/clients/listener.rs
+++ b/crates/agent/src/clients/listener.rs
@@ -12,7 +12,6 @@
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, future, pin};
 
-use super::eviction::Eviction;
 use super::{Clients, POLL_INTERVAL};
 use crate::log::{ConnectionEnd, Count, Quoted, count, info};
 use crate::loop_monitor::LoopPhases;
@@ -120,7 +119,7 @@
     /// Evicts an idle connection to free its resources, and waits for a connection to end.
     async fn relieve_resource_shortage(&self, error: io::Error) {
         info!("accept_failed error={}", ConnectionEnd::from(error));
-        self.evict_idle(Eviction::ForConnection);
+        self.evict_idle();
         self.wait_for_connection_end().await;
     }
 
@@ -168,7 +167,7 @@
             let backlog = async { listener.readable().await.map_err(ConnectionEnd::from) };
             let is_waiting = with_timeout(POLL_INTERVAL, backlog).await.is_ok();
             if is_waiting && self.is_at_connection_bound() {
-                self.evict_idle(Eviction::ForConnection);
+                self.evict_idle();
                 self.wait_for_connection_end().await;
             }
         }
