Date new clients' requests by a backlog that moves, not only by one that was empty

Cause: a first request is dated by the last time at which the backlog was known to be empty. While clients come without pause that time does not move, and while all places are in use the accept loop did not look at the backlog at all, so that a request could be dated by any earlier time.

Against late reads by a held-up event loop: the delays grow by the time since the last empty backlog and fall to nothing at once when it empties.

Change: a connection is accepted before there is a place for it, so every empty backlog is seen; and since the backlog holds so many connections, one that is accepted now came after the one was accepted whose place it may have taken.

--- a/crates/agent/src/clients/listener.rs
+++ b/crates/agent/src/clients/listener.rs
@@ -16,7 +16,8 @@
 use crate::log::{ConnectionEnd, Count, Quoted, count, info};
 use crate::loop_monitor::LoopPhases;
 use crate::transport::{
-    ArrivalTracker, TcpSocket, is_per_connection_error, retry_interrupted, with_timeout,
+    ArrivalTracker, BacklogTracker, TcpSocket, is_per_connection_error, retry_interrupted,
+    with_timeout,
 };
 
 /// How long to wait for a place after an eviction before the next one.
@@ -59,7 +60,8 @@
     /// their requests are rejected. `listening_since` is a time before any client could connect.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>, listening_since: Instant) {
         let phases = self.event_loop.monitor.phases();
-        let mut arrivals = ArrivalTracker::new(phases.clone(), listening_since);
+        let mut backlog =
+            BacklogTracker::new(phases.clone(), listening_since, self.max_connections);
         let last_serial = Cell::new(0);
         let spawn = |accepted: Accepted| self.spawn_serve(accepted, &last_serial, &phases);
         let draining = self.draining.notified();
@@ -67,16 +69,18 @@
         while !self.draining.is_notified() {
             match try_accept(listener.get_ref()) {
                 AcceptResult::Accepted(stream) => {
+                    let earliest_arrival = backlog.note_accepted(Instant::now());
+                    self.make_room().await;
                     spawn(Accepted {
                         stream,
-                        earliest_arrival: arrivals.earliest_arrival(),
+                        earliest_arrival,
                     });
                     future::yield_now().await;
                 }
                 AcceptResult::Empty => {
-                    arrivals.note_empty();
+                    backlog.note_empty();
                     let readable = async {
-                        if let Err(error) = arrivals.readable(&listener).await {
+                        if let Err(error) = backlog.readable(&listener).await {
                             info!("accept_failed error={}", Quoted(error));
                             Timer::after(POLL_INTERVAL).await;
                         }
@@ -85,10 +89,8 @@
                 }
                 AcceptResult::OutOfResources(error) => self.relieve_resource_shortage(error).await,
             }
-            self.wait_for_room(&listener).await;
         }
-        self.accept_backlog(listener, arrivals.earliest_arrival(), spawn)
-            .await;
+        self.accept_backlog(listener, backlog, spawn).await;
         self.listener_closed.notify();
     }
 
@@ -96,7 +98,7 @@
     async fn accept_backlog(
         &self,
         listener: Async<TcpListener>,
-        earliest_arrival: Instant,
+        mut backlog: BacklogTracker,
         spawn: impl Fn(Accepted),
     ) {
         // There must be no await between the accept that finds the backlog empty and the close of the listener:
@@ -105,7 +107,7 @@
             match try_accept(listener.get_ref()) {
                 AcceptResult::Accepted(stream) => spawn(Accepted {
                     stream,
-                    earliest_arrival,
+                    earliest_arrival: backlog.note_accepted(Instant::now()),
                 }),
                 AcceptResult::Empty => break,
                 AcceptResult::OutOfResources(error) => {
@@ -163,18 +165,14 @@
         socket
     }
 
-    /// Waits until another connection may be accepted. At the bound, a connection is evicted only when another one is
-    /// waiting in the backlog.
-    async fn wait_for_room(&self, listener: &Async<TcpListener>) {
+    /// Waits until there is a place for the connection that was accepted last, and evicts others for it. It is accepted
+    /// before there is a place, because only an accept that finds the backlog empty tells when later clients arrive.
+    async fn make_room(&self) {
         while self.is_at_connection_bound() && !self.draining.is_notified() {
-            let backlog = async { listener.readable().await.map_err(ConnectionEnd::from) };
-            let is_waiting = with_timeout(POLL_INTERVAL, backlog).await.is_ok();
-            if is_waiting && self.is_at_connection_bound() {
-                if !self.is_evicting() {
-                    self.evict_one();
-                }
-                self.wait_for_connection_end(EVICTION_INTERVAL).await;
+            if !self.is_evicting() {
+                self.evict_one();
             }
+            self.wait_for_connection_end(EVICTION_INTERVAL).await;
         }
     }
 
--- a/crates/agent/src/clients/mod.rs
+++ b/crates/agent/src/clients/mod.rs
@@ -52,7 +52,7 @@
     classes: Vec<NamedClass>,
     /// Whether a rejection tells the client when to retry.
     sends_retry_after: bool,
-    /// The bound on open connections. At most four fifths of them may have requests in flight at a time; the others can
+    /// The bound on open connections, and on those in the backlog. At most four fifths of them may have requests in flight at a time; the others can
     /// be evicted, because a client that is left in the backlog gets no reply at all.
     max_connections: usize,
     /// The bound on the pending replies of one connection; at least 1.
--- a/crates/agent/src/transport/mod.rs
+++ b/crates/agent/src/transport/mod.rs
@@ -9,6 +9,7 @@
 use async_io::Async;
 
 mod arrival;
+mod backlog;
 mod connect;
 mod input_reader;
 mod notifier;
@@ -17,6 +18,7 @@
 mod system_call;
 
 pub use arrival::ArrivalTracker;
+pub use backlog::BacklogTracker;
 pub use connect::{connect, with_timeout};
 pub use input_reader::{InputReader, Parse, items};
 pub use notifier::{Notifier, WakeSignal};
--- a/crates/agent/tests/arrival.rs
+++ b/crates/agent/tests/arrival.rs
@@ -2,7 +2,8 @@
 //! was reported.
 use std::time::{Duration, Instant};
 
-use lilacgate_agent::loop_monitor::{HoldUp, LoopPhase};
+use lilacgate_agent::loop_monitor::{HoldUp, LoopMonitor, LoopPhase};
+use lilacgate_agent::transport::BacklogTracker;
 use proptest::prelude::{Strategy, proptest};
 use rstest::rstest;
 
@@ -63,6 +64,21 @@
     assert_eq!(earliest - zero, after(expected) - zero);
 }
 
+/// Guards against dating every request of clients that come without pause by the time at which the backlog was last
+/// empty: it holds three connections, so the fourth one was still to come when the first one was accepted.
+#[test]
+fn connections_of_a_backlog_that_never_empties() {
+    let listening_since = Instant::now();
+    let after = |milliseconds| listening_since + Duration::from_millis(milliseconds);
+    let phases = LoopMonitor::default().phases();
+    let mut backlog = BacklogTracker::new(phases, listening_since, 2);
+    let earliest = [100, 200, 300, 400, 500].map(|accepted| {
+        let earliest = backlog.note_accepted(after(accepted));
+        (earliest - listening_since).as_millis()
+    });
+    assert_eq!(earliest, [0, 0, 0, 100, 200]);
+}
+
 /// Generates the length of a pass, the length of the wait after it, and the time from the start of the pass to the
 /// arrival of input, all in milliseconds.
 fn pass_wait_and_arrival() -> impl Strategy<Value = (u64, u64, u64)> {
