--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -227,9 +227,14 @@
             .is_some()
     }
 
-    /// Returns a connection to the pool after an exchange, or closes it if its process takes no more requests.
+    /// Returns a connection to the pool after an exchange, or closes it if its process takes no more requests or has sent
+    /// more than its replies.
     pub(super) fn put_back(&self, id: EndpointId, mut connection: Connection) {
         connection.last_used = self.clock().now();
+        if connection.has_surplus {
+            connection.close_reason = ConnectionEnd::Stale;
+            return;
+        }
         match self.endpoints.borrow_mut().get_mut(&id) {
             Some(endpoint) if endpoint.takes_requests_at(connection.process) => {
                 endpoint.idle.push(connection);
--- a/crates/test-bed/src/listener.rs
+++ b/crates/test-bed/src/listener.rs
@@ -37,7 +37,6 @@
                 if !still_running.load(Ordering::Relaxed) {
                     return;
                 }
-                connection.set_nodelay(true).ok();
                 lock(&accepted).extend(connection.try_clone());
                 let serve = serve.clone();
                 thread::spawn(move || serve(connection));
