A vote's answer is found behind a surplus answer to the vote before it

The id of an answer was checked, so no foreign answer was taken for the vote's own; but one that came late ended the connection as malformed, and the vote counted as "may have been carried out" although its own answer was right behind.

Cause: as for requests, what was written earlier may arrive only with the next message.

Change: an answer with an earlier id is skipped, within the time limit of the call. Any other id is malformed as before. Looked at without finding the same: health checks (they use the exchange of the requests and its fence), load reports (part of an answer), the watch of releases (notifications carry the whole state), discovery (each list and watch has its own connection, and lists carry versions).

Test: vote-answered-twice.txt; before, the vote of stage 0 was sent a second time.

--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -33,6 +33,24 @@
     reader: InputReader<JsonParser>,
 }
 
+impl VoteConnection {
+    /// Reads the answer to a request. A surplus answer to an earlier request on this connection may come before it.
+    async fn read_answer(&mut self, id: u64) -> Result<Json, ConnectionEnd> {
+        loop {
+            let answer = self
+                .reader
+                .next(&self.stream)
+                .await?
+                .ok_or(ConnectionEnd::Closed)?;
+            match answer.get("id").and_then(Json::as_u64) {
+                Some(answered) if answered == id => return Ok(answer),
+                Some(answered) if answered < id => {}
+                _ => return Err(ConnectionEnd::Malformed),
+            }
+        }
+    }
+}
+
 /// The client of the platform.
 pub struct Platform {
     event_loop: Rc<EventLoop>,
@@ -144,14 +162,7 @@
         let mut request = encode_request(id, "verdict", params);
         request.flush(&connection.stream).await?;
         is_written.set(true);
-        let answer = connection
-            .reader
-            .next(&connection.stream)
-            .await?
-            .ok_or(ConnectionEnd::Closed)?;
-        if answer.get("id").and_then(Json::as_u64) != Some(id) {
-            return Err(ConnectionEnd::Malformed);
-        }
+        let answer = connection.read_answer(id).await?;
         let outcome = self.read_answer(&answer).ok_or(ConnectionEnd::Malformed)?;
         self.idle_connection.replace(Some(connection));
         Ok(outcome)
