--- a/crates/agent/src/clients/command.rs
+++ b/crates/agent/src/clients/command.rs
@@ -7,10 +7,10 @@
 use lilacgate_decision::{Idempotency, IdempotencyKey, RequestClass};
 use thiserror::Error;
 
-use super::byte_budget::ByteReservation;
 use crate::json;
 use crate::outbound::EncodedRequest;
 use crate::resp;
+use crate::transport::ByteReservation;
 
 /// A request class, with the name by which clients refer to it.
 #[derive(Debug)]
--- a/crates/agent/src/clients/connection_state.rs
+++ b/crates/agent/src/clients/connection_state.rs
@@ -3,12 +3,11 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use super::byte_budget::ByteBudget;
 use super::lingering_close::TrailingInput;
 use super::reply_queue::{ReadyReply, ReplyQueue};
 use crate::clock::Clock;
 use crate::log::{ConnectionEnd, Count, count};
-use crate::transport::{TcpSocket, has_no_input};
+use crate::transport::{ByteBudget, TcpSocket, has_no_input};
 
 /// The input that a connection which owes no reply waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/agent/src/clients/mod.rs
+++ b/crates/agent/src/clients/mod.rs
@@ -11,7 +11,6 @@
 //! [`Clients`] is the state that all connections share. Each connection has its own task, and a `ConnectionState` that
 //! eviction and shutdown access.
 mod admission;
-mod byte_budget;
 mod command;
 mod connection;
 mod connection_state;
@@ -31,12 +30,11 @@
 use lilacgate_decision::RequestClass;
 use lilacgate_start_settings::{Settings, SettingsError};
 
-use self::byte_budget::ByteBudget;
 use self::command::NamedClass;
 use self::connection_state::ConnectionState;
 use self::in_flight_ids::InFlightIds;
 use crate::event_loop::EventLoop;
-use crate::transport::{Notifier, WakeSignal};
+use crate::transport::{ByteBudget, Notifier, WakeSignal};
 use crate::upstream::UpstreamPool;
 
 /// The time limit for the first command of a connection, and for each command from its first byte to its last. Once a
--- a/crates/agent/src/clients/reply_queue.rs
+++ b/crates/agent/src/clients/reply_queue.rs
@@ -4,8 +4,7 @@
 
 use lilacgate_decision::RequestId;
 
-use super::byte_budget::{ByteBudget, ByteReservation};
-use crate::transport::WakeSignal;
+use crate::transport::{ByteBudget, ByteReservation, WakeSignal};
 
 /// A reply that has not been handed to the socket yet.
 enum PendingReply {
--- a/crates/agent/src/clients/byte_budget.rs
+++ b/crates/agent/src/transport/byte_budget.rs
@@ -1,25 +1,26 @@
-//! Counts the bytes that the requests and replies of all clients hold.
+//! Counts the bytes that messages of many connections hold together.
 use std::cell::Cell;
 use std::rc::Rc;
 
 /// The number of bytes that are held now, shared by all reservations.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ByteBudget(Rc<Cell<usize>>);
+pub struct ByteBudget(Rc<Cell<usize>>);
 
 /// Counts `count` bytes as held until it is dropped.
 #[derive(Debug)]
-pub(super) struct ByteReservation {
+pub struct ByteReservation {
     budget: ByteBudget,
     count: usize,
 }
 
 impl ByteBudget {
-    pub(super) fn held(&self) -> usize {
+    /// The number of bytes that are held now.
+    pub fn held(&self) -> usize {
         self.0.get()
     }
 
     /// Counts `count` more bytes as held. The caller checks the bound.
-    pub(super) fn reserve(&self, count: usize) -> ByteReservation {
+    pub fn reserve(&self, count: usize) -> ByteReservation {
         self.0.set(self.0.get() + count);
         ByteReservation {
             budget: self.clone(),
--- a/crates/agent/src/transport/mod.rs
+++ b/crates/agent/src/transport/mod.rs
@@ -10,6 +10,7 @@
 
 mod arrival;
 mod backlog;
+mod byte_budget;
 mod connect;
 mod input_reader;
 mod notifier;
@@ -19,6 +20,7 @@
 
 pub use arrival::ArrivalTracker;
 pub use backlog::BacklogTracker;
+pub use byte_budget::{ByteBudget, ByteReservation};
 pub use connect::{connect, with_timeout};
 pub use input_reader::{InputReader, Parse, items};
 pub use notifier::{Notifier, WakeSignal};
