--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -62,8 +62,6 @@
     ConnectionsOpened "connections_opened"
     /// Connections to endpoints that have ended.
     ConnectionsClosed "connections_closed"
-    /// Replies of endpoints that belonged to no command.
-    SurplusReplies "surplus_replies"
     /// Health checks that were started.
     HealthChecks "health_checks"
     /// Updates of the endpoint list.
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -11,15 +11,6 @@
 use crate::resp::{self, Resp};
 use crate::transport::{InputReader, RingBuffer, TcpSocket};
 
-/// Sent before the command of every exchange but the first one on a connection. Its reply, `+OK`, marks where the reply
-/// to the command begins: what comes before it is left of an earlier exchange. Endpoints do not count it as a request or a
-/// health check.
-const FENCE_COMMAND: &[u8] = b"*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n";
-/// The reply to [`FENCE_COMMAND`], a simple string.
-const FENCE_REPLY: &[u8] = b"OK";
-/// How many surplus replies are skipped before the connection counts as malformed.
-const MAX_SURPLUS_REPLIES: usize = 8;
-
 /// Identifies the process that an endpoint runs. A connection belongs to one process: the same endpoint with another
 /// build, start time or address is another process, which knows nothing of earlier requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,10 +46,6 @@
     pub(super) process: EndpointProcess,
     /// When the last exchange ended; before the first exchange, when the connection was opened.
     pub(super) last_used: Duration,
-    /// Whether a command has been sent, so that bytes of an earlier exchange may come before a reply.
-    has_exchanged: bool,
-    /// Whether such bytes have come: the connection is not used again.
-    pub(super) has_surplus: bool,
     /// The reason that is logged when the connection is dropped.
     pub(super) close_reason: ConnectionEnd,
     _open: OpenConnectionGuard,
@@ -91,8 +78,6 @@
             output: RingBuffer::new(resp::MAX_MESSAGE),
             process,
             last_used: opened,
-            has_exchanged: false,
-            has_surplus: false,
             close_reason: ConnectionEnd::Cancelled,
             _open: open,
         }
@@ -121,35 +106,12 @@
         command: &[u8],
         fully_written: &Cell<bool>,
     ) -> Result<Resp, Outcome> {
-        let needs_fence = std::mem::replace(&mut self.has_exchanged, true);
-        if needs_fence {
-            self.output.append(FENCE_COMMAND);
-        }
         self.output.append(command);
         if let Err(end) = self.output.flush(&self.stream).await {
             self.close_reason = end;
             return Err(Outcome::ConnectFailed);
         }
         fully_written.set(true);
-        if needs_fence {
-            self.skip_to_fence().await?;
-        }
-        self.read_reply().await
-    }
-
-    /// Reads up to the reply to the fence, and drops the surplus replies before it.
-    async fn skip_to_fence(&mut self) -> Result<(), Outcome> {
-        for _ in 0..=MAX_SURPLUS_REPLIES {
-            if matches!(self.read_reply().await?, Resp::Simple(text) if text == FENCE_REPLY) {
-                return Ok(());
-            }
-            self.has_surplus = true;
-            count(Count::SurplusReplies);
-        }
-        Err(self.reject_reply())
-    }
-
-    async fn read_reply(&mut self) -> Result<Resp, Outcome> {
         let reply = self.input.next(&self.stream).await;
         self.acknowledge_now();
         self.close_reason = match reply {
@@ -163,12 +125,12 @@
         })
     }
 
-    /// Acknowledges what has been read at once. By default the kernel delays an acknowledgement by up to 40 ms, and the
-    /// endpoint's kernel holds back further bytes until it gets one (Nagle's algorithm). Surplus bytes behind a reply would
-    /// arrive only with the next request, and a reply behind that to the fence only after the delay.
+    /// Acknowledges what has been read at once. By default the kernel delays an acknowledgement, and the endpoint's kernel
+    /// holds back further bytes until it gets one (Nagle's algorithm): surplus bytes behind a reply would arrive only with
+    /// the next request, and look like the reply to it.
     fn acknowledge_now(&self) {
         let socket = SockRef::from(self.stream.get_ref().as_ref());
-        // Without it the reply is valid all the same.
+        // If it fails, the delay before the connection is used again covers the delayed acknowledgement.
         socket.set_tcp_quickack(true).ok();
     }
 
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -7,9 +7,8 @@
 //! - An attempt ends as [`Outcome::NotSent`](lilacgate_decision::Outcome::NotSent) or
 //!   [`ConnectFailed`](lilacgate_decision::Outcome::ConnectFailed) only if its last byte was not handed to the socket,
 //!   so that it cannot have run.
-//! - Surplus bytes after an answer are never taken for the answer to the next request, however late they arrive: on a
-//!   connection that is used again, the answer to a request is what follows the reply to a fence that is sent before it. A
-//!   connection with surplus bytes is closed, and none is reused for as long as an answer may be late.
+//! - Surplus bytes after an answer are never taken for the answer to the next request: a connection with unexpected
+//!   bytes is closed, and a connection is not reused for as long as an answer may be late.
 //! - The number of open connections is bounded; at the bound, the one that has been idle longest is closed.
 //!
 //! The decision engine chooses the endpoint of each request.
--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -20,6 +20,8 @@
 use crate::outbound::{AttemptId, OutgoingAttempt, Upstream};
 use crate::transport::connect;
 
+/// How long the kernel may delay the acknowledgement of a reply, and so the surplus bytes behind it.
+const MAX_ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(40);
 /// How many sweeps of idle connections there are within one idle timeout.
 const SWEEPS_IN_IDLE_TIMEOUT: u32 = 20;
 
@@ -57,7 +59,7 @@
     read_timeout: Duration,
     idle_timeout: Duration,
     /// How long a connection is not reused after a reply, so that surplus bytes are noticed before the next request is
-    /// sent: as long as a reply may be delayed in the network.
+    /// sent: as long as a reply may be delayed in the network, and by the acknowledgement of the reply before it.
     reuse_delay: Duration,
     max_connections: usize,
     open_connections: Rc<Cell<usize>>,
@@ -95,7 +97,8 @@
             idle_timeout: settings.period("limits.conn-idle")? * 9 / 10,
             reuse_delay: settings
                 .period("tick")?
-                .max(settings.duration("rules.answer-slack")?),
+                .max(settings.duration("rules.answer-slack")?)
+                + MAX_ACKNOWLEDGEMENT_DELAY,
             max_connections,
             open_connections: Rc::default(),
         }))
@@ -227,14 +230,9 @@
             .is_some()
     }
 
-    /// Returns a connection to the pool after an exchange, or closes it if its process takes no more requests or has sent
-    /// more than its replies.
+    /// Returns a connection to the pool after an exchange, or closes it if its process takes no more requests.
     pub(super) fn put_back(&self, id: EndpointId, mut connection: Connection) {
         connection.last_used = self.clock().now();
-        if connection.has_surplus {
-            connection.close_reason = ConnectionEnd::Stale;
-            return;
-        }
         match self.endpoints.borrow_mut().get_mut(&id) {
             Some(endpoint) if endpoint.takes_requests_at(connection.process) => {
                 endpoint.idle.push(connection);
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -25,7 +25,6 @@
 //!     NAME gets end-of-connection  one of its connections ends; commands on others are kept for later steps
 //!     NAME deadline-at-most MS     the last command that it got has at most this deadline
 //!     NAME answers BYTES           it writes bytes on the current connection: that of the last command
-//!     NAME answers-late BYTES      it writes bytes on the current connection when the next command on it arrives
 //!     NAME selects ID              the current connection is the one that brought the command with this id
 //!     NAME closes                  it closes the current connection
 //!     NAME stops-listening         it stops listening and closes all connections
--- a/crates/agent/tests/upstream.rs
+++ b/crates/agent/tests/upstream.rs
@@ -4,6 +4,8 @@
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use lilacgate_decision::{
@@ -232,3 +234,50 @@
     };
     assert_eq!(reported, expected);
 }
+
+/// The exchanges after which the kernel of a connection begins to delay acknowledgements.
+const EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS: usize = 24;
+
+/// Serves connections with the kernel's default socket options: each command is answered as failed, but the one before
+/// the last as rejected, and twice, in two writes. The second one is held back by Nagle's algorithm.
+fn serve_one_answer_twice(listener: &TcpListener) {
+    let answered = Arc::new(AtomicUsize::new(0));
+    for mut connection in listener.incoming().flatten() {
+        let answered = answered.clone();
+        std::thread::spawn(move || {
+            while connection.read_exact(&mut [0; 5]).is_ok() {
+                let answer: &[u8] = match answered.fetch_add(1, Ordering::Relaxed) {
+                    EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS => {
+                        connection.write_all(b"-BUSY\r\n").ok();
+                        b"-BUSY\r\n"
+                    }
+                    _ => b"-ERR failed\r\n",
+                };
+                connection.write_all(answer).ok();
+            }
+        });
+    }
+}
+
+/// Guards against taking a second copy of an answer, which the endpoint's kernel holds back until the first one is
+/// acknowledged, for the answer to the next request: that a once-only request has not run would be proved by a foreign
+/// answer. The next request comes later than the answer slack, and sooner than a delayed acknowledgement.
+#[test]
+fn second_answer_held_back_until_an_acknowledgement() {
+    const PAUSE: Duration = Duration::from_millis(25);
+    let (event_loop, pool, listener) = pool_with_endpoint(9);
+    std::thread::spawn(move || serve_one_answer_twice(&listener));
+    let mut outcomes = Vec::new();
+    for _ in 0..EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS + 2 {
+        send_hello(&event_loop, pool.clone(), ENDPOINT);
+        let mut handler = RecordingHandler {
+            may_send: true,
+            ..RecordingHandler::default()
+        };
+        outcomes.extend(handler.wait_for_outcome(&event_loop));
+        std::thread::sleep(PAUSE);
+    }
+    let mut expected = [Outcome::Failed; EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS + 2];
+    expected[EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS] = Outcome::Rejected;
+    assert_eq!(outcomes, expected);
+}
--- a/crates/loopback/src/appliance.rs
+++ b/crates/loopback/src/appliance.rs
@@ -17,8 +17,6 @@
 const SERVED: &[u8] = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 /// The answer to a probe.
 const LOAD: &[u8] = b"$10\r\nlat_ms=2.0\r\n";
-/// The reply to `SELECT`, which agents send before a request on a connection that they use again.
-const DATABASE_SELECTED: &[u8] = b"+OK\r\n";
 /// Which word of a request is its id.
 const ID_WORD: usize = 2;
 /// The most words of a command, and the longest word.
@@ -114,14 +112,11 @@
 async fn serve(stream: TcpStream, service: Service) {
     let mut stream = BufReader::new(stream);
     while let Some(command) = read_command(&mut stream).await {
-        let answer = match command.first().map(Vec::as_slice) {
-            Some(b"INFO") => LOAD,
-            Some(b"SELECT") => DATABASE_SELECTED,
-            _ => {
-                service.serve(&command).await;
-                SERVED
-            }
-        };
+        let is_probe = command.first().is_some_and(|word| word == b"INFO");
+        if !is_probe {
+            service.serve(&command).await;
+        }
+        let answer = if is_probe { LOAD } else { SERVED };
         if stream.write_all(answer).await.is_err() {
             return;
         }
--- a/crates/test-bed/src/endpoint_server.rs
+++ b/crates/test-bed/src/endpoint_server.rs
@@ -11,7 +11,6 @@
 use crate::event_log::{Event, EventLog};
 use crate::framing::read_resp;
 use crate::listener::{Listener, lock};
-use crate::scripted_server::{FENCE_COMMAND, FENCE_REPLY};
 
 const SUCCESS: &[u8] = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 const FAILURE: &[u8] = b"-ERR failed\r\n";
@@ -152,12 +151,6 @@
         let mut reader = BufReader::new(connection.try_clone().expect("a second handle"));
         let mut last_id = None;
         while let Some(command) = read_resp(&mut reader) {
-            if command == FENCE_COMMAND {
-                if (&*connection).write_all(FENCE_REPLY).is_err() {
-                    return;
-                }
-                continue;
-            }
             last_id = request_id(&command);
             let Some(id) = last_id else {
                 return;
