--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -32,7 +32,11 @@
             .map_or_else(|_| "unknown".into(), |address| address.to_string());
         let stream = Rc::new(stream);
         let reader = InputReader::new(CommandParser::default(), resp::MAX_MESSAGE, COMMAND_TIMEOUT)
-            .with_arrivals(arrivals);
+            .with_arrivals(arrivals)
+            .with_partial_item_limit(
+                &self.partial_command_bytes,
+                self.max_partial_command_bytes(),
+            );
         let connection = Rc::new(ConnectionState::new(
             &stream,
             reader.partial_item_since(),
@@ -156,6 +160,10 @@
                 }
                 // Commands before the incomplete one still get their replies.
                 Some(Err(ConnectionEnd::TimedOut)) => {
+                    // It may be whole, if the bound on partial commands has kept the agent from reading it.
+                    if connection.has_unread_input() {
+                        connection.refuse_partial_command();
+                    }
                     connection.has_command_timed_out.set(true);
                     break ConnectionEnd::TimedOut;
                 }
--- a/crates/agent/src/clients/connection_state.rs
+++ b/crates/agent/src/clients/connection_state.rs
@@ -118,7 +118,7 @@
         self.partial_command_since.get().is_some()
     }
 
-    fn has_unread_input(&self) -> bool {
+    pub(super) fn has_unread_input(&self) -> bool {
         self.stream
             .upgrade()
             .is_some_and(|stream| !has_no_input(&stream))
--- a/crates/agent/src/clients/eviction.rs
+++ b/crates/agent/src/clients/eviction.rs
@@ -89,13 +89,16 @@
     /// limit how many connections they open, and some send one command, or a part of one, and keep the connection. Once
     /// a quarter of the connections are in use, those that have been idle for `COMMAND_TIMEOUT` are closed; once half
     /// are, those that have been idle for the connect timeout; once three quarters are, those that have waited for a
-    /// whole command for [`FIRST_COMMAND_GRACE`].
+    /// whole command for [`FIRST_COMMAND_GRACE`]; and while partial commands hold as many bytes as they may, those that
+    /// have held one for [`PARTIAL_COMMAND_GRACE`].
     pub async fn sweep_waiting_connections(self: Rc<Self>) {
         let mut ticks = Timer::interval(self.connect_timeout / SWEEPS_IN_CONNECT_TIMEOUT);
         while ticks.next().await.is_some() {
             self.close_long_idle();
-            if self.is_crowded() {
-                self.evict_stalled();
+            if self.partial_command_bytes.held() >= self.max_partial_command_bytes() {
+                self.evict_stalled(PARTIAL_COMMAND_GRACE);
+            } else if self.is_crowded() {
+                self.evict_stalled(FIRST_COMMAND_GRACE);
             }
         }
     }
@@ -126,16 +129,18 @@
             .for_each(|connection| connection.end(ConnectionEnd::Idle));
     }
 
-    /// Evicts all connections that have waited for a whole command for [`FIRST_COMMAND_GRACE`].
-    fn evict_stalled(&self) {
+    /// Evicts all connections that have waited for the rest of a command for `partial_command_grace`, or for a first
+    /// command for [`FIRST_COMMAND_GRACE`].
+    fn evict_stalled(&self, partial_command_grace: Duration) {
         let clock = self.event_loop.clock;
         let now = clock.now();
         let is_stalled = |connection: &&Rc<ConnectionState>| {
-            connection.waiting_since(clock) + FIRST_COMMAND_GRACE <= now
-                && matches!(
-                    connection.awaited_input(),
-                    Some(AwaitedInput::FirstByte | AwaitedInput::RestOfCommand)
-                )
+            let grace = match connection.awaited_input() {
+                Some(AwaitedInput::FirstByte) => FIRST_COMMAND_GRACE,
+                Some(AwaitedInput::RestOfCommand) => partial_command_grace,
+                Some(AwaitedInput::NextCommand) | None => return false,
+            };
+            connection.waiting_since(clock) + grace <= now
         };
         let connections = self.connections.borrow();
         connections.values().filter(is_stalled).for_each(evict);
--- a/crates/agent/src/clients/mod.rs
+++ b/crates/agent/src/clients/mod.rs
@@ -40,6 +40,8 @@
 /// The time limit for the first command of a connection, and for each command from its first byte to its last. Once a
 /// quarter of the connections are in use, a connection that has been idle for this long is closed.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Partial commands may hold the bound on the bytes of requests and replies divided by this, beside those.
+const PARTIAL_COMMANDS_DIVISOR: usize = 2;
 /// How long to wait for a connection to end before checking again.
 const POLL_INTERVAL: Duration = shutdown::CLOSING_PHASE.checked_div(8).unwrap();
 
@@ -63,6 +65,8 @@
     /// The longest time that a client waits for a reply.
     longest_deadline: Duration,
     held_bytes: ByteBudget,
+    /// Counts the bytes of commands that have been read in part.
+    partial_command_bytes: ByteBudget,
     in_flight_ids: InFlightIds,
     /// The open connections, by their serial number.
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
@@ -113,6 +117,7 @@
             connect_timeout: settings.period("limits.connect-timeout")?,
             longest_deadline: settings.longest_deadline()?,
             held_bytes: ByteBudget::default(),
+            partial_command_bytes: ByteBudget::default(),
             in_flight_ids: InFlightIds::default(),
             connections: RefCell::default(),
             unregistered_connections: Cell::default(),
@@ -124,6 +129,13 @@
     }
 }
 
+impl Clients {
+    /// The bound on the bytes of commands that have been read in part. Beyond it, input is left in the sockets.
+    fn max_partial_command_bytes(&self) -> usize {
+        self.max_held_bytes / PARTIAL_COMMANDS_DIVISOR
+    }
+}
+
 /// Reads the request classes and the names by which clients refer to them.
 fn read_classes(settings: &Settings) -> Result<Vec<NamedClass>, SettingsError> {
     let count: u8 = settings.value("profiles.count")?;
--- a/crates/agent/src/resp.rs
+++ b/crates/agent/src/resp.rs
@@ -69,6 +69,16 @@
 }
 
 impl ValueParser {
+    /// Makes room for `count` more bytes of the token. A bulk string grows by doubling, but not beyond its length.
+    fn reserve_token(&mut self, count: usize) {
+        if let State::Bulk { missing } = self.state
+            && self.token.capacity() - self.token.len() < count
+        {
+            self.token
+                .reserve_exact(missing.min(self.token.len().max(count)));
+        }
+    }
+
     /// Parses a whole line. Returns its value, or `None` if it begins a bulk string or an array.
     fn parse_line(&mut self) -> Result<Option<Resp>, ConnectionEnd> {
         let line = std::mem::take(&mut self.token);
@@ -151,6 +161,10 @@
         self.message_length == 0
     }
 
+    fn consumed_bytes(&self) -> usize {
+        self.message_length
+    }
+
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Resp>), ConnectionEnd> {
         let mut consumed = 0;
         while consumed < bytes.len() {
@@ -166,6 +180,7 @@
             if self.message_length > MAX_MESSAGE {
                 return Err(ConnectionEnd::TooLong);
             }
+            self.reserve_token(count);
             self.token.extend_from_slice(&rest[..count]);
             consumed += count;
             let value = match &mut self.state {
@@ -198,6 +213,10 @@
         self.0.is_between_items()
     }
 
+    fn consumed_bytes(&self) -> usize {
+        self.0.consumed_bytes()
+    }
+
     fn take(&mut self, bytes: &[u8]) -> Result<(usize, Option<Self::Item>), ConnectionEnd> {
         if self.0.is_between_items() && bytes.first().is_some_and(|&byte| byte != b'*') {
             return Err(ConnectionEnd::Malformed);
--- a/crates/agent/src/transport/byte_budget.rs
+++ b/crates/agent/src/transport/byte_budget.rs
@@ -29,6 +29,20 @@
     }
 }
 
+impl ByteReservation {
+    /// The number of bytes that this reservation counts.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Counts `count` bytes instead.
+    pub fn resize(&mut self, count: usize) {
+        let held = &self.budget.0;
+        held.set(held.get() - self.count + count);
+        self.count = count;
+    }
+}
+
 impl Drop for ByteReservation {
     fn drop(&mut self) {
         let held = &self.budget.0;
--- a/crates/agent/src/transport/input_reader.rs
+++ b/crates/agent/src/transport/input_reader.rs
@@ -10,7 +10,7 @@
 
 use super::ring_buffer::SocketRead;
 use super::system_call::{has_no_input, is_resource_shortage, pause_for_resources};
-use super::{ArrivalTracker, RingBuffer, TcpSocket, with_timeout};
+use super::{ArrivalTracker, ByteBudget, ByteReservation, RingBuffer, TcpSocket, with_timeout};
 use crate::log::ConnectionEnd;
 
 /// An incremental parser. After an error the stream cannot be parsed any further, and its connection has to be closed.
@@ -29,8 +29,28 @@
 
     /// Whether no byte of the next item has been consumed yet.
     fn is_between_items(&self) -> bool;
+
+    /// How many bytes of the next item have been consumed, where they are to be counted in a [`ByteBudget`].
+    fn consumed_bytes(&self) -> usize {
+        0
+    }
+}
+
+/// The bound on the bytes of items that readers together have read in part.
+#[derive(Debug)]
+struct PartialItemLimit {
+    budget: ByteBudget,
+    /// Counts the bytes of this reader.
+    reservation: ByteReservation,
+    /// The bound, in bytes.
+    max_bytes: usize,
 }
 
+/// How much of an item is read without regard to the bound on partial items, in bytes: most items are shorter.
+const UNLIMITED_BYTES: usize = 1 << 10;
+/// How long to wait before looking again whether partial items hold less than their bound.
+const LIMIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Reads items from one connection.
 #[derive(Debug)]
 pub struct InputReader<P> {
@@ -46,6 +66,8 @@
     last_arrival: Instant,
     /// The earliest time at which the first byte of the current item may have arrived.
     item_arrived: Instant,
+    /// The bound on partial items; `None` for none.
+    partial_item_limit: Option<PartialItemLimit>,
     /// Since when bytes have been read that do not form a whole item yet; shared with the owner of the connection.
     partial_item_since: Rc<Cell<Option<Instant>>>,
 }
@@ -63,6 +85,7 @@
             arrivals: None,
             last_arrival: now,
             item_arrived: now,
+            partial_item_limit: None,
             partial_item_since: Rc::default(),
         }
     }
@@ -77,6 +100,21 @@
         }
     }
 
+    /// Leaves the input in the socket while the partial items of all readers with this budget hold `max_bytes` or more, but
+    /// for the first KiB of an item.
+    #[must_use]
+    pub fn with_partial_item_limit(self, budget: &ByteBudget, max_bytes: usize) -> Self {
+        let limit = PartialItemLimit {
+            budget: budget.clone(),
+            reservation: budget.reserve(0),
+            max_bytes,
+        };
+        InputReader {
+            partial_item_limit: Some(limit),
+            ..self
+        }
+    }
+
     /// Dates items by the earliest time at which they may have arrived, instead of by the time of the read.
     #[must_use]
     pub fn with_arrivals(self, arrivals: ArrivalTracker) -> Self {
@@ -116,6 +154,7 @@
                 if let Some(item) = item {
                     let next_item_since = (!self.buffer.is_empty()).then(Instant::now);
                     self.partial_item_since.set(next_item_since);
+                    self.count_partial_item();
                     return Ok(Some(item));
                 }
                 // The parser needs more bytes before it consumes any.
@@ -124,6 +163,8 @@
                 }
             }
             self.buffer.shrink_if_empty();
+            self.count_partial_item();
+            self.wait_for_limit().await;
             if self.read(stream).await?.count == 0 {
                 return Ok(None);
             }
@@ -132,6 +173,24 @@
         }
     }
 
+    fn count_partial_item(&mut self) {
+        let bytes = self.buffer.len() + self.parser.consumed_bytes();
+        if let Some(limit) = &mut self.partial_item_limit {
+            limit.reservation.resize(bytes);
+        }
+    }
+
+    /// Waits while the partial items of all readers exceed their bound. The read timeout of the item applies.
+    async fn wait_for_limit(&self) {
+        let Some(limit) = &self.partial_item_limit else {
+            return;
+        };
+        while limit.reservation.count() >= UNLIMITED_BYTES && limit.budget.held() >= limit.max_bytes
+        {
+            Timer::after(LIMIT_POLL_INTERVAL).await;
+        }
+    }
+
     /// Waits until there is input, or the end of the stream.
     async fn readable(&mut self, stream: &TcpSocket) -> Result<(), ConnectionEnd> {
         match &mut self.arrivals {
--- a/crates/agent/src/transport/ring_buffer.rs
+++ b/crates/agent/src/transport/ring_buffer.rs
@@ -43,6 +43,11 @@
         self.bytes.is_empty()
     }
 
+    /// The number of buffered bytes.
+    pub(super) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Whether the limit for reads is reached.
     pub(super) fn is_full(&self) -> bool {
         self.bytes.len() >= self.limit
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -80,7 +80,7 @@
         let mut connection = self.connection(pool).await?;
         let time_left = self.outgoing.deadline.saturating_sub(pool.clock().now());
         let command = (self.outgoing.encoded_request)(time_left);
-        let reply = connection.exchange(&command, &self.fully_written).await?;
+        let reply = connection.exchange(command, &self.fully_written).await?;
         let reply = parse_reply(reply).ok_or_else(|| connection.reject_reply())?;
         pool.put_back(self.outgoing.endpoint, connection);
         Ok(reply)
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -103,10 +103,12 @@
     /// Returns the outcome of the exchange if no reply was read.
     pub(super) async fn exchange(
         &mut self,
-        command: &[u8],
+        command: Vec<u8>,
         fully_written: &Cell<bool>,
     ) -> Result<Resp, Outcome> {
-        self.output.append(command);
+        self.output.append(&command);
+        // The wait for the reply is long; the command is not needed any more.
+        drop(command);
         if let Err(end) = self.output.flush(&self.stream).await {
             self.close_reason = end;
             return Err(Outcome::ConnectFailed);
--- a/crates/agent/src/upstream/health_check.rs
+++ b/crates/agent/src/upstream/health_check.rs
@@ -33,7 +33,7 @@
             None => self.open(endpoint).await?,
         };
         let command = resp::encode_command([&b"INFO"[..], b"load"].into_iter());
-        let reply = connection.exchange(&command, &Cell::new(false)).await?;
+        let reply = connection.exchange(command, &Cell::new(false)).await?;
         let load_report = match reply {
             Resp::Bulk(load_report) => Ok(load_report),
             Resp::Error(_) => Err(Outcome::Failed),
--- a/crates/agent/tests/input_reader.rs
+++ b/crates/agent/tests/input_reader.rs
@@ -6,7 +6,7 @@
 
 use async_io::Async;
 use lilacgate_agent::log::ConnectionEnd;
-use lilacgate_agent::transport::{InputReader, Parse};
+use lilacgate_agent::transport::{ByteBudget, InputReader, Parse, with_timeout};
 use rstest::rstest;
 
 /// A parser that consumes an item only when all of its bytes are buffered.
@@ -53,3 +53,44 @@
     });
     assert_eq!(result, expected);
 }
+
+/// Accepts a connection on which `sent` has been written, and returns it with the client's end.
+fn connection_with(sent: &[u8]) -> (Async<Arc<TcpStream>>, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    let mut client = TcpStream::connect(address).expect("a connection");
+    client.write_all(sent).expect("the bytes are written");
+    let stream = Arc::new(listener.accept().expect("a connection").0);
+    (Async::new(stream).expect("the stream is registered"), client)
+}
+
+/// Guards against clients that stop in the middle of long messages and take the process over its memory limit: once the
+/// partial items of all readers hold their bound, the input of another one stays in its socket, but for its first KiB; it
+/// is read as soon as there is room.
+#[test]
+fn partial_items_of_all_readers_are_bounded() {
+    const MAX_BYTES: usize = 4 << 10;
+    const LENGTH: usize = 3 << 10;
+    let budget = ByteBudget::default();
+    let reader = |length| {
+        let item = WholeItem { length };
+        InputReader::new(item, 64 << 10, Duration::from_secs(20))
+            .with_partial_item_limit(&budget, MAX_BYTES)
+    };
+    let wait = Duration::from_millis(200);
+    let (stalled_stream, _stalled_client) = connection_with(&[b'x'; MAX_BYTES]);
+    let (stream, _client) = connection_with(&[b'y'; LENGTH]);
+    async_io::block_on(async {
+        let mut stalled = reader(MAX_BYTES + 1);
+        let first = with_timeout(wait, stalled.next(&stalled_stream)).await;
+        assert_eq!(first, Err(ConnectionEnd::TimedOut));
+        assert_eq!(budget.held(), MAX_BYTES);
+        let mut other = reader(LENGTH);
+        let second = with_timeout(wait, other.next(&stream)).await;
+        assert_eq!(second, Err(ConnectionEnd::TimedOut));
+        assert_eq!(budget.held(), MAX_BYTES + (1 << 10));
+        drop(stalled);
+        assert_eq!(other.next(&stream).await, Ok(Some(vec![b'y'; LENGTH])));
+        assert_eq!(budget.held(), 0);
+    });
+}
