--- a/crates/agent/tests/input_reader.rs
+++ b/crates/agent/tests/input_reader.rs
@@ -61,7 +61,10 @@
     let mut client = TcpStream::connect(address).expect("a connection");
     client.write_all(sent).expect("the bytes are written");
     let stream = Arc::new(listener.accept().expect("a connection").0);
-    (Async::new(stream).expect("the stream is registered"), client)
+    (
+        Async::new(stream).expect("the stream is registered"),
+        client,
+    )
 }
 
 /// Guards against clients that stop in the middle of long messages and take the process over its memory limit: once the
