A connection rests for as long as Linux may delay an acknowledgement, 200 ms

A kernel delays an acknowledgement by 200 ms at most, not by 40 ms, which is the least. The delay before a connection to an endpoint is used again follows: 200 ms and the answer slack, 220 ms here, so that a copy of an answer that is late by less than that shows before the next request, too.

--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -20,8 +20,8 @@
 use crate::outbound::{AttemptId, OutgoingAttempt, Upstream};
 use crate::transport::connect;
 
-/// How long the kernel may delay the acknowledgement of a reply, and so the surplus bytes behind it.
-const MAX_ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(40);
+/// The longest time for which Linux delays the acknowledgement of a reply, and so the surplus bytes behind it.
+const MAX_ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(200);
 /// How many sweeps of idle connections there are within one idle timeout.
 const SWEEPS_IN_IDLE_TIMEOUT: u32 = 20;
 
