Only the main thread handles signals, so none is handled behind later input

What was seen: shutdown-last-commands.txt failed once ("client 2 reads -ERR failed", after 3.5 s). Its agent is stopped, gets commands and then a second SIGTERM, and runs on; it sent three of the commands to the endpoint, where the scenario wants -BUSY for each, and waited for them until the end of the shutdown.

Cause: the kernel lets any thread that does not block a signal handle it. While the process is stopped no thread is preferred, and once it runs on, the first one takes the signal: the reactor's or a writer's thread, too. While that thread waits for a processor, the main thread reads the commands as if there were no signal.

Against a mistake in the closing phase: all that was accepted was answered.

A signal that came first is handled first.

It sees the log's, the reactor's, the store's and the state file's thread.

--- a/crates/agent/src/file_writer.rs
+++ b/crates/agent/src/file_writer.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use crate::log::{Quoted, info};
+use crate::signals;
 
 /// How many requests may wait for the thread.
 const MAX_QUEUED_REQUESTS: usize = 16;
@@ -58,6 +59,8 @@
 }
 
 fn write_files(requests: &Receiver<Replacement>) {
+    // If this fails, the thread may handle a signal, as late as it runs; files are written all the same.
+    signals::block_in_thread().ok();
     let mut pending = BTreeMap::<PathBuf, Replacement>::new();
     loop {
         let request = if pending.is_empty() {
--- a/crates/agent/src/signals.rs
+++ b/crates/agent/src/signals.rs
@@ -2,12 +2,16 @@
 //!
 //! Each command has its own pipe, on which each of its signals writes one byte, so that a read cannot return part of a
 //! signal. A failed read is not a signal: it is retried after a pause.
+//!
+//! Only the main thread handles signals. The kernel may let any thread that does not block a signal handle it, and while
+//! that thread waits for a processor, the event loop would go on as if there were no signal.
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
 use futures_lite::future;
+use nix::sys::signal::{SigSet, Signal};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 
 use crate::log::{Quoted, info};
@@ -16,6 +20,33 @@
 /// The pause after a failed read.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
+/// Blocks all signals that the agent handles in the current thread, and in the threads that it starts. They stay pending
+/// until another thread unblocks them.
+///
+/// # Errors
+/// Fails if the mask of the thread cannot be set.
+pub(crate) fn block_in_thread() -> io::Result<()> {
+    Ok(handled_signals().thread_block()?)
+}
+
+/// Lets the current thread handle the signals that the agent handles, and those that are pending at once. Threads that it
+/// starts afterwards may handle them, too, unless they call [`block_in_thread`].
+///
+/// # Errors
+/// Fails if the mask of the thread cannot be set.
+pub(crate) fn unblock_in_thread() -> io::Result<()> {
+    Ok(handled_signals().thread_unblock()?)
+}
+
+fn handled_signals() -> SigSet {
+    SigSet::from_iter([
+        Signal::SIGUSR1,
+        Signal::SIGHUP,
+        Signal::SIGTERM,
+        Signal::SIGINT,
+    ])
+}
+
 /// The command that a signal stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Command {
--- a/crates/agent/src/startup.rs
+++ b/crates/agent/src/startup.rs
@@ -28,7 +28,7 @@
 use crate::recorder::Recorder;
 use crate::release_gate::ReleaseGateHost;
 use crate::release_watch::ReleaseUpdate;
-use crate::signals::SignalStream;
+use crate::signals::{self, SignalStream};
 use crate::start_config::{
     self, MAX_DESCRIPTORS_PATH, RELEASE_UPDATE_PATH, SAVED_LIST_PATH, StartConfig,
 };
@@ -61,8 +61,10 @@
 /// Fails if a part of the agent's configuration cannot be used, or a socket or signal handler cannot be set up.
 pub(crate) fn start(arguments: Arguments) -> Result<(), StartError> {
     let path = command_line::start_file_path()?;
-    // Signals come first: until they are handled, one of them may kill the process.
-    let signals = retry_at_startup(SignalStream::new).map_err(StartError::Signals)?;
+    // Signals come first: until they are handled, one of them may kill the process. They are blocked while the helper
+    // threads are started, so that these do not handle them.
+    signals::block_in_thread().map_err(StartError::Signals)?;
+    let signal_stream = retry_at_startup(SignalStream::new).map_err(StartError::Signals)?;
     let mut config = read_start_file(&path)?;
     let settings = &config.settings;
     let engine = lilacgate_start_settings::build_instance(config.seed, settings)?.engine;
@@ -109,7 +111,7 @@
     components.event_loop.spawn(engine_host.run());
     components.spawn_client_tasks(listener, listening_since);
     let lifecycle = Lifecycle {
-        signals,
+        signals: signal_stream,
         path,
         initial_file: config.file,
         discovery: components.discovery,
@@ -117,6 +119,7 @@
         operator_file,
     };
     let lifetime = lifecycle.run(components.clients);
+    signals::unblock_in_thread().map_err(StartError::Signals)?;
     async_io::block_on(components.event_loop.run(lifetime));
     Ok(())
 }
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -67,6 +67,7 @@
 //!     start-file [raw BYTES | nothing]    the start file is written as set, or with these bytes, or removed
 //!     unread-log N                 nobody reads the log while the agent is asked N times for its counters, and serves
 //!     signal NAME                  sends a signal to the agent
+//!     main-thread-handles N        the agent's main thread alone handles its signals, beside at least N other threads
 //!     counter NAME N               the counter reaches this value
 //!     exits CODE                   the agent exits with this code
 //!     log TEXT                     the log contains TEXT
--- a/crates/agent/tests/scenario_player/agent_process.rs
+++ b/crates/agent/tests/scenario_player/agent_process.rs
@@ -22,6 +22,19 @@
 /// The seed of the random choice of calls that fail.
 const FAULT_SEED: u64 = 39;
 
+/// The signals that the agent handles, as a mask with bit N - 1 for signal N: SIGHUP, SIGINT, SIGUSR1 and SIGTERM.
+const HANDLED_SIGNALS: u64 = 1 << 0 | 1 << 1 | 1 << 9 | 1 << 14;
+
+/// Returns the mask of the signals that a thread blocks, from its status file.
+fn blocked_signals(status: &Path) -> u64 {
+    let text = std::fs::read_to_string(status).expect("the status of a thread");
+    let mask = text
+        .lines()
+        .find_map(|line| line.strip_prefix("SigBlk:"))
+        .expect("a mask of signals");
+    u64::from_str_radix(mask.trim(), 16).expect("a hexadecimal mask")
+}
+
 /// Checks that the agent answers PING.
 pub(super) fn ping(connection: &mut BufReader<TcpStream>) {
     connection
@@ -49,6 +62,7 @@
             "faults" => self.set_faults(words.rest),
             "injected-at-least" => self.wait_for_faults(words.number()),
             "signal" => self.agent().signal(words.rest),
+            "main-thread-handles" => self.check_signal_masks(words.number()),
             "counter" => self.counter(Words::of(words.rest)),
             "unread-log" => self.unread_log(words.number()),
             "log" => assert!(wait_for_log(&self.log, words.rest), "{}", self.log_text()),
@@ -82,6 +96,26 @@
     }
 
     /// Waits until each rule has hit at least this many calls.
+    /// Checks that the main thread alone handles the signals that the agent handles, and that there are at least
+    /// `helper_threads` others.
+    fn check_signal_masks(&self, helper_threads: usize) {
+        let main_thread = self.agent().id().to_string();
+        let threads = std::fs::read_dir(format!("/proc/{main_thread}/task")).expect("the threads");
+        let mut helpers = 0;
+        for thread in threads {
+            let thread = thread.expect("a thread");
+            let blocked = blocked_signals(&thread.path().join("status")) & HANDLED_SIGNALS;
+            let expected = if thread.file_name() == main_thread.as_str() {
+                0
+            } else {
+                helpers += 1;
+                HANDLED_SIGNALS
+            };
+            assert_eq!(blocked, expected, "blocked in thread {:?}", thread.path());
+        }
+        assert!(helpers >= helper_threads, "only {helpers} helper threads");
+    }
+
     fn wait_for_faults(&self, least: u64) {
         let script = self.fault_script.as_ref().expect("a script of faults");
         let counts = || lilacgate_fault_script::counts::read(&script.counts).expect("the counts");
--- a/crates/agent/tests/scenario_player/mod.rs
+++ b/crates/agent/tests/scenario_player/mod.rs
@@ -143,10 +143,19 @@
         let words = Words::of(step);
         match words.first {
             "wait" => thread::sleep(Duration::from_millis(words.number())),
-            "set" | "start" | "start-fails" | "signal" | "counter" | "exits" | "log"
-            | "file-limit" | "unread-log" | "start-file" | "faults" | "injected-at-least" => {
-                self.agent_step(words)
-            }
+            "set"
+            | "start"
+            | "start-fails"
+            | "signal"
+            | "main-thread-handles"
+            | "counter"
+            | "exits"
+            | "log"
+            | "file-limit"
+            | "unread-log"
+            | "start-file"
+            | "faults"
+            | "injected-at-least" => self.agent_step(words),
             "client"
             | "open"
             | "close-all"
