--- a/crates/agent/src/file_writer.rs
+++ b/crates/agent/src/file_writer.rs
@@ -51,16 +51,13 @@
     QUEUE.get_or_init(|| {
         let (sender, receiver) = sync_channel(MAX_QUEUED_REQUESTS);
         // If the thread cannot be started, the receiver is dropped and each request is logged as failed.
-        thread::Builder::new()
-            .spawn(move || write_files(&receiver))
-            .ok();
+        let writer = thread::Builder::new();
+        signals::with_blocked(|| writer.spawn(move || write_files(&receiver))).ok();
         sender
     })
 }
 
 fn write_files(requests: &Receiver<Replacement>) {
-    // If this fails, the thread may handle a signal, as late as it runs; files are written all the same.
-    signals::block_in_thread().ok();
     let mut pending = BTreeMap::<PathBuf, Replacement>::new();
     loop {
         let request = if pending.is_empty() {
--- a/crates/agent/src/signals.rs
+++ b/crates/agent/src/signals.rs
@@ -11,7 +11,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
-use nix::sys::signal::{SigSet, Signal};
+use nix::sys::signal::{SigSet, SigmaskHow, Signal};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 
 use crate::log::{Quoted, info};
@@ -30,7 +30,7 @@
 }
 
 /// Lets the current thread handle the signals that the agent handles, and those that are pending at once. Threads that it
-/// starts afterwards may handle them, too, unless they call [`block_in_thread`].
+/// starts afterwards may handle them, too, unless they are started [`with_blocked`] signals.
 ///
 /// # Errors
 /// Fails if the mask of the thread cannot be set.
@@ -38,6 +38,18 @@
     Ok(handled_signals().thread_unblock()?)
 }
 
+/// Makes a call during which the current thread blocks the signals that the agent handles, so that the threads that it
+/// starts meanwhile block them from their first instruction on.
+pub(crate) fn with_blocked<T>(start_thread: impl FnOnce() -> T) -> T {
+    // Without a mask the new thread may handle a signal, as late as it runs, which is no reason not to start it.
+    let earlier_mask = handled_signals().thread_swap_mask(SigmaskHow::SIG_BLOCK);
+    let result = start_thread();
+    if let Ok(mask) = earlier_mask {
+        mask.thread_set_mask().ok();
+    }
+    result
+}
+
 fn handled_signals() -> SigSet {
     SigSet::from_iter([
         Signal::SIGUSR1,
