A late copy of an answer is told from the reply to the request that its connection carries

Cause: nothing in a reply names its request, and a reply was taken for the answer to whatever was written last. A rest, of whatever length, catches only what comes while the connection is idle.

Change: a connection remembers the values of its last four answers, as hashes. An answer with one of these values may be a late copy, or the request may really have the same answer: a SELECT is written behind the request, and since replies come in the order of their commands, the last answer before the reply to SELECT is the request's own. An answer with another value is taken at once. A connection that has brought surplus answers is closed.

Weighed: a longer rest (costs connections, and catches no later copy); a new connection for each request (a handshake for each); waiting for a second answer without a fence (an answer that is rightly the same would be late).

Endpoints of the test bed and of `loopback` answer SELECT. Replies are parsed in a module of their own.

--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -62,6 +62,10 @@
     ConnectionsOpened "connections_opened"
     /// Connections to endpoints that have ended.
     ConnectionsClosed "connections_closed"
+    /// Replies with the value of an earlier answer on their connection, which were told apart by a further command.
+    RepliesFenced "replies_fenced"
+    /// Copies of earlier answers of endpoints that came in place of the reply to a request.
+    SurplusReplies "surplus_replies"
     /// Health checks that were started.
     HealthChecks "health_checks"
     /// Updates of the endpoint list.
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -8,9 +8,9 @@
 
 use super::UpstreamPool;
 use super::connection::Connection;
+use super::reply::{Reply, parse_reply};
 use crate::event_loop::AttemptResult;
 use crate::outbound::OutgoingAttempt;
-use crate::resp::Resp;
 
 /// An attempt that is under way.
 pub(super) struct Attempt {
@@ -19,14 +19,6 @@
     fully_written: Cell<bool>,
 }
 
-/// An endpoint's reply to an attempt.
-struct Reply {
-    outcome: Outcome,
-    /// The value for the client; empty unless the attempt succeeded.
-    value: Vec<u8>,
-    load_report: Option<Vec<u8>>,
-}
-
 impl Attempt {
     pub(super) fn new(outgoing: OutgoingAttempt) -> Self {
         Attempt {
@@ -80,7 +72,9 @@
         let mut connection = self.connection(pool).await?;
         let time_left = self.outgoing.deadline.saturating_sub(pool.clock().now());
         let command = (self.outgoing.encoded_request)(time_left);
-        let reply = connection.exchange(command, &self.fully_written).await?;
+        let reply = connection
+            .exchange_request(command, &self.fully_written)
+            .await?;
         let reply = parse_reply(reply).ok_or_else(|| connection.reject_reply())?;
         pool.put_back(self.outgoing.endpoint, connection);
         Ok(reply)
@@ -102,50 +96,3 @@
         }
     }
 }
-
-/// Interprets a reply to a request; returns `None` if it is not a valid reply to one.
-fn parse_reply(reply: Resp) -> Option<Reply> {
-    match reply {
-        Resp::Array(Some(items)) => parse_success(items),
-        Resp::Error(line) => parse_error(line),
-        _ => None,
-    }
-}
-
-/// Parses `[value, null, load report]`. A load report of the wrong type is ignored, and the value is used all the same.
-fn parse_success(items: Vec<Resp>) -> Option<Reply> {
-    let [value, null, load_report] = <[Resp; 3]>::try_from(items).ok()?;
-    let (Resp::Bulk(Some(value)), Resp::Bulk(None) | Resp::Array(None)) = (value, null) else {
-        return None;
-    };
-    let load_report = match load_report {
-        Resp::Bulk(load_report) => load_report,
-        _ => None,
-    };
-    Some(Reply {
-        outcome: Outcome::Succeeded,
-        value,
-        load_report,
-    })
-}
-
-/// Parses an error code, which may be followed by a load report.
-fn parse_error(line: Vec<u8>) -> Option<Reply> {
-    let line = String::from_utf8(line).ok()?;
-    let (code, load_report) = match line.rsplit_once(' ') {
-        Some((code, load_report)) if load_report.contains('=') => {
-            (code, Some(load_report.as_bytes().to_vec()))
-        }
-        _ => (line.as_str(), None),
-    };
-    let outcome = match code {
-        "BUSY" => Outcome::Rejected,
-        "ERR failed" => Outcome::Failed,
-        _ => return None,
-    };
-    Some(Reply {
-        outcome,
-        value: Vec::new(),
-        load_report,
-    })
-}
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -7,10 +7,15 @@
 use lilacgate_decision::{Build, Outcome};
 use socket2::SockRef;
 
+use super::recent_answers::RecentAnswers;
+use super::reply::is_error_answer;
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, Resp};
 use crate::transport::{InputReader, RingBuffer, TcpSocket};
 
+/// A command that endpoints answer at once, after the requests before it, and that has no effect.
+const FENCE_COMMAND: [&[u8]; 2] = [b"SELECT", b"0"];
+
 /// Identifies the process that an endpoint runs. A connection belongs to one process: the same endpoint with another
 /// build, start time or address is another process, which knows nothing of earlier requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -46,6 +51,9 @@
     pub(super) process: EndpointProcess,
     /// When the last exchange ended; before the first exchange, when the connection was opened.
     pub(super) last_used: Duration,
+    recent_answers: RecentAnswers,
+    /// Whether surplus answers have come, so that the connection carries no further exchange.
+    pub(super) has_surplus_answers: bool,
     /// The reason that is logged when the connection is dropped.
     pub(super) close_reason: ConnectionEnd,
     _open: OpenConnectionGuard,
@@ -78,6 +86,8 @@
             output: RingBuffer::new(resp::MAX_MESSAGE),
             process,
             last_used: opened,
+            recent_answers: RecentAnswers::default(),
+            has_surplus_answers: false,
             close_reason: ConnectionEnd::Cancelled,
             _open: open,
         }
@@ -106,14 +116,64 @@
         command: Vec<u8>,
         fully_written: &Cell<bool>,
     ) -> Result<Resp, Outcome> {
-        self.output.append(&command);
-        // The wait for the reply is long; the command is not needed any more.
-        drop(command);
-        if let Err(end) = self.output.flush(&self.stream).await {
+        if let Err(end) = self.write(command).await {
             self.close_reason = end;
             return Err(Outcome::ConnectFailed);
         }
         fully_written.set(true);
+        self.next_reply().await
+    }
+
+    /// Sends a request and reads its own reply, as [`exchange`](Self::exchange) does, but an answer to an earlier request
+    /// that comes once more is not taken for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of the exchange if its own reply was not read.
+    pub(super) async fn exchange_request(
+        &mut self,
+        command: Vec<u8>,
+        fully_written: &Cell<bool>,
+    ) -> Result<Resp, Outcome> {
+        let mut reply = self.exchange(command, fully_written).await?;
+        if self.recent_answers.contains(&reply) {
+            reply = self.own_reply(reply).await?;
+        }
+        self.recent_answers.record(&reply);
+        Ok(reply)
+    }
+
+    /// Returns the reply to the last request, given a reply that may as well be a late copy of an earlier answer. Replies
+    /// come in the order of their commands, so that the request's own one comes before the reply to a further command.
+    async fn own_reply(&mut self, mut last_reply: Resp) -> Result<Resp, Outcome> {
+        count(Count::RepliesFenced);
+        let fence = resp::encode_command(FENCE_COMMAND.into_iter());
+        if let Err(end) = self.write(fence).await {
+            self.close_reason = end;
+            return Err(Outcome::ConnectionLost);
+        }
+        loop {
+            let next = self.next_reply().await?;
+            if is_fence_reply(&next) {
+                return Ok(last_reply);
+            }
+            count(Count::SurplusReplies);
+            self.has_surplus_answers = true;
+            if !self.recent_answers.contains(&next) {
+                return Ok(next);
+            }
+            last_reply = next;
+        }
+    }
+
+    async fn write(&mut self, command: Vec<u8>) -> Result<(), ConnectionEnd> {
+        self.output.append(&command);
+        // The wait for the reply is long; the command is not needed any more.
+        drop(command);
+        self.output.flush(&self.stream).await
+    }
+
+    async fn next_reply(&mut self) -> Result<Resp, Outcome> {
         let reply = self.input.next(&self.stream).await;
         self.acknowledge_now();
         self.close_reason = match reply {
@@ -142,3 +202,13 @@
         Outcome::Malformed
     }
 }
+
+/// Whether this is the reply to [`FENCE_COMMAND`] and not to a request. An endpoint that does not know the command replies
+/// with an error.
+fn is_fence_reply(reply: &Resp) -> bool {
+    match reply {
+        Resp::Simple(_) => true,
+        Resp::Error(line) => !is_error_answer(line),
+        _ => false,
+    }
+}
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -7,8 +7,9 @@
 //! - An attempt ends as [`Outcome::NotSent`](lilacgate_decision::Outcome::NotSent) or
 //!   [`ConnectFailed`](lilacgate_decision::Outcome::ConnectFailed) only if its last byte was not handed to the socket,
 //!   so that it cannot have run.
-//! - Surplus bytes after an answer are never taken for the answer to the next request: a connection with unexpected
-//!   bytes is closed, and a connection is not reused for as long as an answer may be late.
+//! - Surplus bytes after an answer are not taken for the answer to the next request: a connection with unexpected bytes is
+//!   closed, a connection is not reused for as long as an answer may be late, and an answer with the value of an earlier
+//!   one on its connection counts only once the reply to a further command shows that no other answer follows.
 //! - The number of open connections is bounded; at the bound, the one that has been idle longest is closed.
 //!
 //! The decision engine chooses the endpoint of each request.
@@ -17,5 +18,7 @@
 mod health_check;
 mod load_report;
 mod pool;
+mod recent_answers;
+mod reply;
 
 pub use pool::UpstreamPool;
--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -230,8 +230,13 @@
             .is_some()
     }
 
-    /// Returns a connection to the pool after an exchange, or closes it if its process takes no more requests.
+    /// Returns a connection to the pool after an exchange, or closes it if surplus answers have come on it or its process
+    /// takes no more requests.
     pub(super) fn put_back(&self, id: EndpointId, mut connection: Connection) {
+        if connection.has_surplus_answers {
+            connection.close_reason = ConnectionEnd::Stale;
+            return;
+        }
         connection.last_used = self.clock().now();
         match self.endpoints.borrow_mut().get_mut(&id) {
             Some(endpoint) if endpoint.takes_requests_at(connection.process) => {
--- a/crates/loopback/src/appliance.rs
+++ b/crates/loopback/src/appliance.rs
@@ -13,8 +13,8 @@
 use crate::error::LoopbackError;
 use crate::served::ServedLog;
 
-/// The answer to a request: its value, no further keys, no load report.
-const SERVED: &[u8] = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
+/// The reply to a command that does nothing.
+const SELECTED: &[u8] = b"+OK\r\n";
 /// The answer to a probe.
 const LOAD: &[u8] = b"$10\r\nlat_ms=2.0\r\n";
 /// Which word of a request is its id.
@@ -112,17 +112,29 @@
 async fn serve(stream: TcpStream, service: Service) {
     let mut stream = BufReader::new(stream);
     while let Some(command) = read_command(&mut stream).await {
-        let is_probe = command.first().is_some_and(|word| word == b"INFO");
-        if !is_probe {
-            service.serve(&command).await;
-        }
-        let answer = if is_probe { LOAD } else { SERVED };
-        if stream.write_all(answer).await.is_err() {
+        let answer = match command.first().map(Vec::as_slice) {
+            Some(b"INFO") => LOAD.to_vec(),
+            Some(b"SELECT") => SELECTED.to_vec(),
+            _ => {
+                service.serve(&command).await;
+                success(&command)
+            }
+        };
+        if stream.write_all(&answer).await.is_err() {
             return;
         }
     }
 }
 
+/// The answer to a request: its id as the value, no further keys, no load report.
+fn success(command: &[Vec<u8>]) -> Vec<u8> {
+    let value = command.get(ID_WORD).map_or(&[][..], Vec::as_slice);
+    let mut answer = format!("*3\r\n${}\r\n", value.len()).into_bytes();
+    answer.extend_from_slice(value);
+    answer.extend_from_slice(b"\r\n$-1\r\n$-1\r\n");
+    answer
+}
+
 /// Reads one command: an array of bulk strings. `None` at the end of the stream, or if it is not a command.
 async fn read_command(stream: &mut BufReader<TcpStream>) -> Option<Vec<Vec<u8>>> {
     let count = read_length(stream, '*', WORD_COUNT_LIMIT).await?;
--- a/crates/test-bed/src/check/checker.rs
+++ b/crates/test-bed/src/check/checker.rs
@@ -300,6 +300,9 @@
                     ClientOutcome::Succeeded => report.succeeded += 1,
                     ClientOutcome::Rejected => report.rejected += 1,
                     ClientOutcome::Failed => report.failed += 1,
+                    ClientOutcome::WrongValue => report.violations.push(format!(
+                        "request {id} was served with another request's value"
+                    )),
                 },
                 _ if request.orphaned => {}
                 [] if request.connection_ended && request.attempts == 0 => {}
--- a/crates/test-bed/src/client.rs
+++ b/crates/test-bed/src/client.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
+use crate::endpoint_server::request_value;
 use crate::event_log::{ClientOutcome, Event, EventLog, RequestKind};
 use crate::framing::{encode_command, read_resp};
 
@@ -102,7 +103,10 @@
             deadline: self.traffic.deadline,
         });
         let outcome = match exchange(connection, &command) {
-            Answer::Text(text) if text.starts_with('$') => ClientOutcome::Succeeded,
+            Answer::Text(text) if text.strip_prefix('$') == Some(request_value(id).as_str()) => {
+                ClientOutcome::Succeeded
+            }
+            Answer::Text(text) if text.starts_with('$') => ClientOutcome::WrongValue,
             Answer::Text(text) if text.starts_with("-BUSY") => ClientOutcome::Rejected,
             Answer::Text(_) => ClientOutcome::Failed,
             Answer::Incomplete => return false,
--- a/crates/test-bed/src/endpoint_server.rs
+++ b/crates/test-bed/src/endpoint_server.rs
@@ -12,8 +12,14 @@
 use crate::framing::read_resp;
 use crate::listener::{Listener, lock};
 
-const SUCCESS: &[u8] = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 const FAILURE: &[u8] = b"-ERR failed\r\n";
+/// The command that does nothing, and its reply.
+const SELECT: &str = "SELECT 0";
+const SELECTED: &[u8] = b"+OK\r\n";
+/// How late a second copy of an answer may be.
+const LATEST_SECOND_ANSWER: Duration = Duration::from_millis(60);
+/// Distinguishes the random numbers of second copies from those of service times, which come from the same seed.
+const SECOND_ANSWER_STREAM: u64 = 0x5ec0;
 
 /// What one class of requests meets besides the endpoint's own behavior.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,6 +49,9 @@
     pub silent: bool,
     /// It closes each connection as soon as a request arrives.
     pub closes_connections: bool,
+    /// The share of answers that it writes twice, 0 to 1. The second copy comes up to 60 ms later, before the endpoint reads
+    /// on from the connection.
+    pub second_answer_share: f64,
 }
 
 impl EndpointBehavior {
@@ -56,6 +65,7 @@
             class_fault: None,
             silent: false,
             closes_connections: false,
+            second_answer_share: 0.0,
         }
     }
 
@@ -102,6 +112,7 @@
             number,
             behavior: behavior.clone(),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+            second_answer_rng: Mutex::new(Pcg64Mcg::seed_from_u64(seed ^ SECOND_ANSWER_STREAM)),
             event_log,
         };
         EndpointServer {
@@ -142,6 +153,7 @@
     number: usize,
     behavior: Arc<Mutex<EndpointBehavior>>,
     rng: Mutex<Pcg64Mcg>,
+    second_answer_rng: Mutex<Pcg64Mcg>,
     event_log: EventLog,
 }
 
@@ -151,6 +163,10 @@
         let mut reader = BufReader::new(connection.try_clone().expect("a second handle"));
         let mut last_id = None;
         while let Some(command) = read_resp(&mut reader) {
+            if command == SELECT {
+                (&*connection).write_all(SELECTED).ok();
+                continue;
+            }
             last_id = request_id(&command);
             let Some(id) = last_id else {
                 return;
@@ -197,7 +213,23 @@
             id,
             endpoint: self.number,
         });
-        connection.write_all(if draw.succeeds { SUCCESS } else { FAILURE })
+        if !draw.succeeds {
+            return connection.write_all(FAILURE);
+        }
+        let answer = success(id);
+        connection.write_all(answer.as_bytes())?;
+        if let Some(delay) = self.second_answer_delay(behavior.second_answer_share) {
+            thread::sleep(delay);
+            connection.write_all(answer.as_bytes())?;
+        }
+        Ok(())
+    }
+
+    /// Draws how much later an answer is written again, if it is.
+    fn second_answer_delay(&self, share: f64) -> Option<Duration> {
+        let mut rng = lock(&self.second_answer_rng);
+        let is_repeated = rng.random::<f64>() < share;
+        is_repeated.then(|| LATEST_SECOND_ANSWER.mul_f64(rng.random()))
     }
 
     fn draw(&self, failure_share: f64) -> Draw {
@@ -209,6 +241,17 @@
     }
 }
 
+/// The answer to a request, whose value is the request's id.
+fn success(id: u32) -> String {
+    let value = request_value(id);
+    format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len())
+}
+
+/// The value with which endpoints serve the request with this number.
+pub(crate) fn request_value(id: u32) -> String {
+    format!("t{id}")
+}
+
 /// The number in a test client's request id: `t7` is 7.
 fn request_id(command: &str) -> Option<u32> {
     command.split(' ').nth(2)?.strip_prefix('t')?.parse().ok()
--- a/crates/test-bed/src/event_log.rs
+++ b/crates/test-bed/src/event_log.rs
@@ -8,6 +8,8 @@
 pub enum ClientOutcome {
     /// It was served.
     Succeeded,
+    /// It was served with a value that no endpoint made for it.
+    WrongValue,
     /// It was rejected without having run; the client may retry.
     Rejected,
     /// It was answered as failed; it may have run.
--- a/crates/test-bed/src/soak/mod.rs
+++ b/crates/test-bed/src/soak/mod.rs
@@ -29,6 +29,9 @@
 /// The time after the last step, for answers to come.
 const LAST_ANSWERS: Duration = Duration::from_millis(1500);
 
+/// The share of answers that endpoints write twice.
+const SECOND_ANSWER_SHARE: f64 = 0.05;
+
 /// What came of some runs.
 #[derive(Clone, Debug, Default)]
 pub struct SoakReport {
@@ -109,8 +112,10 @@
         logs: String::new(),
     };
     for number in 0..plan.endpoints {
-        let behavior = EndpointBehavior::healthy(1, number % 2, plan.service_time);
-        run.bed.add_endpoint(behavior);
+        run.bed.add_endpoint(EndpointBehavior {
+            second_answer_share: SECOND_ANSWER_SHARE,
+            ..EndpointBehavior::healthy(1, number % 2, plan.service_time)
+        });
     }
     run.bed.set_faults(seed, plan.faults.clone());
     run.start();
--- a/crates/test-bed/tests/checker.rs
+++ b/crates/test-bed/tests/checker.rs
@@ -73,6 +73,17 @@
     assert!(report.is_clean());
 }
 
+#[test]
+fn a_request_served_with_the_value_of_another_one_is_found() {
+    let report = report(&[
+        (0, listed(true)),
+        (1, sent(1, RequestKind::Idempotent)),
+        (2, received(1, 1, 1)),
+        (9, ended(1, ClientOutcome::WrongValue)),
+    ]);
+    assert_eq!((report.succeeded, report.is_clean()), (0, false));
+}
+
 /// Of two attempts at a forbidden build, one is within the grace period.
 #[test]
 fn an_attempt_at_a_forbidden_build_is_found() {
