A late rejection is told from the rejection of the request that its connection carries

Cause: as for late copies of answers, a reply was taken for the answer to whatever was written last.

Change: a rejection on a connection that has carried a request before is confirmed by the reply to a SELECT behind it, like an answer with an earlier value. A rejection on a new connection cannot belong to an earlier request and is taken at once. -ERR failed is not confirmed: it only says that the request may have run.

--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -62,9 +62,9 @@
     ConnectionsOpened "connections_opened"
     /// Connections to endpoints that have ended.
     ConnectionsClosed "connections_closed"
-    /// Replies with the value of an earlier answer on their connection, which were told apart by a further command.
+    /// Replies that might have belonged to an earlier request of their connection, and were told apart by a further command.
     RepliesFenced "replies_fenced"
-    /// Copies of earlier answers of endpoints that came in place of the reply to a request.
+    /// Replies of endpoints that belonged to an earlier request and came before the reply to a later one.
     SurplusReplies "surplus_replies"
     /// Health checks that were started.
     HealthChecks "health_checks"
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -8,7 +8,7 @@
 use socket2::SockRef;
 
 use super::recent_answers::RecentAnswers;
-use super::reply::is_error_answer;
+use super::reply::{is_error_answer, is_rejection};
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, Resp};
 use crate::transport::{InputReader, RingBuffer, TcpSocket};
@@ -52,6 +52,8 @@
     /// When the last exchange ended; before the first exchange, when the connection was opened.
     pub(super) last_used: Duration,
     recent_answers: RecentAnswers,
+    /// Whether a request has been sent, so that surplus answers may come.
+    has_carried_request: bool,
     /// Whether surplus answers have come, so that the connection carries no further exchange.
     pub(super) has_surplus_answers: bool,
     /// The reason that is logged when the connection is dropped.
@@ -87,6 +89,7 @@
             process,
             last_used: opened,
             recent_answers: RecentAnswers::default(),
+            has_carried_request: false,
             has_surplus_answers: false,
             close_reason: ConnectionEnd::Cancelled,
             _open: open,
@@ -124,8 +127,8 @@
         self.next_reply().await
     }
 
-    /// Sends a request and reads its own reply, as [`exchange`](Self::exchange) does, but an answer to an earlier request
-    /// that comes once more is not taken for it.
+    /// Sends a request and reads its own reply, as [`exchange`](Self::exchange) does, but what belongs to an earlier request
+    /// is not taken for it.
     ///
     /// # Errors
     ///
@@ -136,14 +139,21 @@
         fully_written: &Cell<bool>,
     ) -> Result<Resp, Outcome> {
         let mut reply = self.exchange(command, fully_written).await?;
-        if self.recent_answers.contains(&reply) {
+        if self.may_be_surplus(&reply) {
             reply = self.own_reply(reply).await?;
         }
+        self.has_carried_request = true;
         self.recent_answers.record(&reply);
         Ok(reply)
     }
 
-    /// Returns the reply to the last request, given a reply that may as well be a late copy of an earlier answer. Replies
+    /// Whether a reply may belong to an earlier request: an answer with the value of an earlier one, or a rejection, which
+    /// is a promise that the request has not run.
+    fn may_be_surplus(&self, reply: &Resp) -> bool {
+        self.recent_answers.contains(reply) || self.has_carried_request && is_rejection(reply)
+    }
+
+    /// Returns the reply to the last request, given a reply that may as well belong to an earlier one. Replies
     /// come in the order of their commands, so that the request's own one comes before the reply to a further command.
     async fn own_reply(&mut self, mut last_reply: Resp) -> Result<Resp, Outcome> {
         count(Count::RepliesFenced);
@@ -159,7 +169,7 @@
             }
             count(Count::SurplusReplies);
             self.has_surplus_answers = true;
-            if !self.recent_answers.contains(&next) {
+            if !self.may_be_surplus(&next) {
                 return Ok(next);
             }
             last_reply = next;
--- a/crates/agent/src/upstream/reply.rs
+++ b/crates/agent/src/upstream/reply.rs
@@ -37,6 +37,14 @@
     })
 }
 
+/// Whether this reply says that the request has not run.
+pub(super) fn is_rejection(reply: &Resp) -> bool {
+    let Resp::Error(line) = reply else {
+        return false;
+    };
+    parse_error(line.clone()).is_some_and(|reply| reply.outcome == Outcome::Rejected)
+}
+
 /// Whether an error line is a valid reply to a request.
 pub(super) fn is_error_answer(line: &[u8]) -> bool {
     parse_error(line.to_vec()).is_some()
