The upstream tests' endpoint answers SELECT, as the protocol says

Its endpoint took the SELECT behind a doubtful rejection for requests and answered each five bytes of it with -ERR failed. It answers +OK now, and checks that nothing but SELECT comes between requests; the expected outcomes stay.

--- a/crates/agent/tests/upstream.rs
+++ b/crates/agent/tests/upstream.rs
@@ -18,6 +18,7 @@
 use lilacgate_agent::event_loop::EventLoop;
 use lilacgate_agent::outbound::{AttemptId, EncodedRequest, OutgoingAttempt, Upstream};
 use lilacgate_agent::release_gate::{EventRouter, ReleaseGateHost};
+use lilacgate_agent::transport::ByteLimit;
 use lilacgate_agent::upstream::UpstreamPool;
 
 use crate::support::empty_recorder;
@@ -29,6 +30,8 @@
     request: RequestId(0),
     number: AttemptNumber(0),
 };
+const REQUEST: &[u8; 5] = b"hello";
+const MAX_REPLY_BYTES: usize = 1 << 20;
 const TIMEOUT: Duration = Duration::from_secs(9);
 
 /// Records how attempts and health checks end, and answers whether an attempt may still be sent.
@@ -91,7 +94,9 @@
 fn pool_with_endpoint(max_connections: usize) -> (Rc<EventLoop>, Rc<UpstreamPool>, TcpListener) {
     let event_loop = EventLoop::new(Duration::ZERO);
     let settings = Settings::from_lines(SETTINGS);
-    let pool = UpstreamPool::new(event_loop.clone(), &settings, max_connections).expect("a pool");
+    let reply_bytes = ByteLimit::new(MAX_REPLY_BYTES);
+    let pool = UpstreamPool::new(event_loop.clone(), &settings, max_connections, reply_bytes)
+        .expect("a pool");
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let (machine_model, build, cell, zone) = Default::default();
     let entry = Endpoint {
@@ -108,10 +113,10 @@
     (event_loop, pool, listener)
 }
 
-/// Sends an attempt whose encoded request is `hello`.
+/// Sends an attempt whose encoded request is [`REQUEST`].
 fn send_hello(event_loop: &EventLoop, pool: Rc<UpstreamPool>, endpoint: EndpointId) {
     let now = event_loop.clock.now();
-    let encoded_request: EncodedRequest = Rc::new(|_| b"hello".to_vec());
+    let encoded_request: EncodedRequest = Rc::new(|_| REQUEST.to_vec());
     pool.send_attempt(OutgoingAttempt {
         id: ATTEMPT,
         endpoint,
@@ -235,17 +240,27 @@
     assert_eq!(reported, expected);
 }
 
+/// The command that the agent writes behind a request whose reply may belong to an earlier one.
+const SELECT: &[u8; 23] = b"*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n";
 /// The exchanges after which the kernel of a connection begins to delay acknowledgements.
 const EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS: usize = 24;
 
 /// Serves connections with the kernel's default socket options: each command is answered as failed, but the one before
-/// the last as rejected, and twice, in two writes. The second one is held back by Nagle's algorithm.
+/// the last as rejected, and twice, in two writes. SELECT is answered with +OK. The second one is held back by Nagle's algorithm.
 fn serve_one_answer_twice(listener: &TcpListener) {
     let answered = Arc::new(AtomicUsize::new(0));
     for mut connection in listener.incoming().flatten() {
         let answered = answered.clone();
         std::thread::spawn(move || {
-            while connection.read_exact(&mut [0; 5]).is_ok() {
+            let mut request = [0; REQUEST.len()];
+            while connection.read_exact(&mut request).is_ok() {
+                if request != *REQUEST {
+                    let mut rest = [0; SELECT.len() - REQUEST.len()];
+                    connection.read_exact(&mut rest).expect("SELECT");
+                    assert_eq!([&request[..], &rest].concat(), SELECT);
+                    connection.write_all(b"+OK\r\n").ok();
+                    continue;
+                }
                 let answer: &[u8] = match answered.fetch_add(1, Ordering::Relaxed) {
                     EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS => {
                         connection.write_all(b"-BUSY\r\n").ok();
