Replies of endpoints and the state of small requests count towards the memory limit

Cause: the bound on held bytes is applied where a request is accepted. What its reply will hold is not known then, and nothing stopped the agent from reading replies of 64 KiB for thousands of requests; a reply was held twice while it was written (its bytes and the output buffer); and a request of 150 bytes holds over 1 KiB in the engine and its task.

Against partial commands: there were none.

Change: more than a KiB of a reply is read only while requests and replies hold less than 1.25 times what requests may; a reply that has begun has its whole size reserved, so that none waits for others that are incomplete. Requests count 1 KiB for their state, and may hold a fifth of the memory, no more a quarter. A written reply's bytes are held once.

--- a/crates/agent/src/clients/admission.rs
+++ b/crates/agent/src/clients/admission.rs
@@ -14,6 +14,10 @@
 /// One in this many connections gets no request slot while the others have requests in flight: its requests are rejected.
 const CONNECTIONS_PER_ONE_WITHOUT_SLOT: usize = 5;
 
+/// How many bytes a request in flight holds beside its parts: its state here and in the decision engine, and the task of
+/// an attempt.
+const REQUEST_STATE_SIZE: usize = 1 << 10;
+
 impl Clients {
     /// Executes a command, or passes its request on to the event loop.
     ///
@@ -58,7 +62,7 @@
         }
         let position = connection.replies.next_position();
         let in_flight = self.in_flight_ids.insert(id);
-        let encoded_request = command::encode_request(parts, self.held_bytes.reserve(size));
+        let encoded_request = command::encode_request(parts, self.held_bytes.budget.reserve(size));
         let (to, sends_retry_after) = (connection.clone(), self.sends_retry_after);
         let request = self.event_loop.accept_request(
             self.request(arrived, arguments),
@@ -95,7 +99,7 @@
     /// Whether a request of `size` bytes would exceed a bound that all clients share.
     fn is_full(&self, size: usize) -> bool {
         self.event_loop.unanswered_requests() >= self.max_requests_in_flight
-            || self.held_bytes.held() + size > self.max_held_bytes
+            || self.held_bytes.budget.held() + size > self.held_bytes.max_bytes
     }
 
     /// Returns whether the connection may have requests in flight. Its first request in flight claims a slot, which the
@@ -124,10 +128,8 @@
 
 /// Returns how many bytes a request holds while it is in flight.
 fn held_size(parts: &[Vec<u8>]) -> usize {
-    parts
-        .iter()
-        .map(|part| part.len() + size_of_val(part))
-        .sum()
+    let size = |part: &Vec<u8>| part.len() + size_of_val(part);
+    REQUEST_STATE_SIZE + parts.iter().map(size).sum::<usize>()
 }
 
 fn encode_answer(answer: FinalAnswer, sends_retry_after: bool) -> Vec<u8> {
--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -33,15 +33,12 @@
         let stream = Rc::new(stream);
         let reader = InputReader::new(CommandParser::default(), resp::MAX_MESSAGE, COMMAND_TIMEOUT)
             .with_arrivals(arrivals)
-            .with_partial_item_limit(
-                &self.partial_command_bytes,
-                self.max_partial_command_bytes(),
-            );
+            .with_partial_item_limit(&self.partial_command_bytes);
         let connection = Rc::new(ConnectionState::new(
             &stream,
             reader.partial_item_since(),
             self.event_loop.clock.now(),
-            self.held_bytes.clone(),
+            self.held_bytes.budget.clone(),
         ));
         self.connections
             .borrow_mut()
@@ -81,7 +78,7 @@
                     Ok(reply) => reply,
                     Err(reason) => return reason,
                 };
-                output.append(&reply.bytes);
+                let reservation = reply.append_to(&mut output);
                 connection.is_writing.set(true);
                 let flush = output.flush(stream);
                 if let Err(end) = with_timeout(self.write_timeout(connection), flush).await {
@@ -89,7 +86,7 @@
                 }
                 connection.is_writing.set(false);
                 // The bytes count as held until the socket has taken all of them.
-                drop(reply);
+                drop(reservation);
                 connection.last_activity.set(self.event_loop.clock.now());
                 if connection.replies.is_empty() {
                     connection.has_request_slot.set(false);
--- a/crates/agent/src/clients/eviction.rs
+++ b/crates/agent/src/clients/eviction.rs
@@ -95,7 +95,7 @@
         let mut ticks = Timer::interval(self.connect_timeout / SWEEPS_IN_CONNECT_TIMEOUT);
         while ticks.next().await.is_some() {
             self.close_long_idle();
-            if self.partial_command_bytes.held() >= self.max_partial_command_bytes() {
+            if self.partial_command_bytes.is_reached() {
                 self.evict_stalled(PARTIAL_COMMAND_GRACE);
             } else if self.is_crowded() {
                 self.evict_stalled(FIRST_COMMAND_GRACE);
--- a/crates/agent/src/clients/lingering_close.rs
+++ b/crates/agent/src/clients/lingering_close.rs
@@ -69,7 +69,7 @@
         // On the heap, because an array in the future would enlarge the task of every connection.
         let mut bytes = vec![0; if discards { DISCARD_CHUNK } else { 1 }];
         let mut discarded = 0;
-        while discarded < self.max_held_bytes {
+        while discarded < self.held_bytes.max_bytes {
             let result = if discards {
                 let mut read =
                     |mut socket: &TcpStream| retry_interrupted(|| socket.read(&mut bytes));
--- a/crates/agent/src/clients/mod.rs
+++ b/crates/agent/src/clients/mod.rs
@@ -34,7 +34,7 @@
 use self::connection_state::ConnectionState;
 use self::in_flight_ids::InFlightIds;
 use crate::event_loop::EventLoop;
-use crate::transport::{ByteBudget, Notifier, WakeSignal};
+use crate::transport::{ByteLimit, Notifier, WakeSignal};
 use crate::upstream::UpstreamPool;
 
 /// The time limit for the first command of a connection, and for each command from its first byte to its last. Once a
@@ -57,16 +57,16 @@
     max_connections: usize,
     /// The bound on the pending replies of one connection; at least 1.
     max_pending_replies: usize,
-    max_held_bytes: usize,
     max_requests_in_flight: usize,
     /// The setting `limits.connect-timeout`. Below the bound on open connections, a connection has to be idle for this
     /// long before it is evicted for another one.
     connect_timeout: Duration,
     /// The longest time that a client waits for a reply.
     longest_deadline: Duration,
-    held_bytes: ByteBudget,
-    /// Counts the bytes of commands that have been read in part.
-    partial_command_bytes: ByteBudget,
+    /// Counts the bytes of requests and replies, and bounds them for requests.
+    held_bytes: ByteLimit,
+    /// Counts the bytes of commands that have been read in part. Beyond its bound, input is left in the sockets.
+    partial_command_bytes: ByteLimit,
     in_flight_ids: InFlightIds,
     /// The open connections, by their serial number.
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
@@ -92,8 +92,8 @@
 }
 
 impl Clients {
-    /// Creates the state for at most `max_connections` connections, whose requests and replies together hold at most
-    /// `max_held_bytes` bytes.
+    /// Creates the state for at most `max_connections` connections. A request is accepted while requests and replies
+    /// together hold less than `held_bytes` allows.
     ///
     /// # Errors
     ///
@@ -103,7 +103,7 @@
         upstream: Rc<UpstreamPool>,
         settings: &Settings,
         max_connections: usize,
-        max_held_bytes: usize,
+        held_bytes: ByteLimit,
     ) -> Result<Rc<Self>, SettingsError> {
         Ok(Rc::new(Clients {
             event_loop,
@@ -112,12 +112,11 @@
             sends_retry_after: settings.value("limits.retry-after")?,
             max_connections,
             max_pending_replies: settings.value::<usize>("limits.streams-per-conn")?.max(1),
-            max_held_bytes,
             max_requests_in_flight: settings.value("limits.max-open")?,
             connect_timeout: settings.period("limits.connect-timeout")?,
             longest_deadline: settings.longest_deadline()?,
-            held_bytes: ByteBudget::default(),
-            partial_command_bytes: ByteBudget::default(),
+            partial_command_bytes: ByteLimit::new(held_bytes.max_bytes / PARTIAL_COMMANDS_DIVISOR),
+            held_bytes,
             in_flight_ids: InFlightIds::default(),
             connections: RefCell::default(),
             unregistered_connections: Cell::default(),
@@ -129,13 +128,6 @@
     }
 }
 
-impl Clients {
-    /// The bound on the bytes of commands that have been read in part. Beyond it, input is left in the sockets.
-    fn max_partial_command_bytes(&self) -> usize {
-        self.max_held_bytes / PARTIAL_COMMANDS_DIVISOR
-    }
-}
-
 /// Reads the request classes and the names by which clients refer to them.
 fn read_classes(settings: &Settings) -> Result<Vec<NamedClass>, SettingsError> {
     let count: u8 = settings.value("profiles.count")?;
--- a/crates/agent/src/clients/reply_queue.rs
+++ b/crates/agent/src/clients/reply_queue.rs
@@ -4,7 +4,7 @@
 
 use lilacgate_decision::RequestId;
 
-use crate::transport::{ByteBudget, ByteReservation, WakeSignal};
+use crate::transport::{ByteBudget, ByteReservation, RingBuffer, WakeSignal};
 
 /// A reply that has not been handed to the socket yet.
 enum PendingReply {
@@ -15,8 +15,16 @@
 
 /// A reply that can be written. Its bytes count as held until it is dropped.
 pub(super) struct ReadyReply {
-    pub(super) bytes: Vec<u8>,
-    _reservation: ByteReservation,
+    bytes: Vec<u8>,
+    reservation: ByteReservation,
+}
+
+impl ReadyReply {
+    /// Moves the bytes to an output buffer. They count as held until the reservation is dropped.
+    pub(super) fn append_to(self, output: &mut RingBuffer) -> ByteReservation {
+        output.append(&self.bytes);
+        self.reservation
+    }
 }
 
 /// The position of a reply among all replies of its connection, counted from 0.
@@ -82,7 +90,7 @@
 
     fn ready(&self, bytes: Vec<u8>) -> PendingReply {
         PendingReply::Ready(ReadyReply {
-            _reservation: self.held_bytes.reserve(bytes.len()),
+            reservation: self.held_bytes.reserve(bytes.len()),
             bytes,
         })
     }
--- a/crates/agent/src/resp.rs
+++ b/crates/agent/src/resp.rs
@@ -13,6 +13,8 @@
 const MAX_ITEMS: i64 = 64;
 /// The largest depth of nested arrays.
 const MAX_DEPTH: usize = 4;
+/// How much of a bulk string has to arrive before its memory may be allocated as a whole, in bytes.
+const FIRST_PART: usize = 1 << 10;
 const LINE_END: &[u8] = b"\r\n";
 
 /// A RESP2 value; `None` is the null bulk string or the null array.
@@ -55,6 +57,8 @@
     message_length: usize,
     /// The incomplete arrays, outermost first.
     open_arrays: Vec<PartialArray>,
+    /// Whether the memory of a bulk string is allocated at once when its first part has arrived.
+    allocates_whole_strings: bool,
 }
 
 impl Default for ValueParser {
@@ -64,19 +68,36 @@
             token: vec![],
             message_length: 0,
             open_arrays: vec![],
+            allocates_whole_strings: false,
         }
     }
 }
 
 impl ValueParser {
+    /// Creates a parser that allocates the memory of a bulk string at once when its first KiB has arrived, so that growing
+    /// buffers do not fragment the memory. The caller reserves the memory.
+    pub fn with_whole_allocations() -> Self {
+        ValueParser {
+            allocates_whole_strings: true,
+            ..ValueParser::default()
+        }
+    }
+
     /// Makes room for `count` more bytes of the token. A bulk string grows by doubling, but not beyond its length.
     fn reserve_token(&mut self, count: usize) {
-        if let State::Bulk { missing } = self.state
-            && self.token.capacity() - self.token.len() < count
-        {
-            self.token
-                .reserve_exact(missing.min(self.token.len().max(count)));
+        let State::Bulk { missing } = self.state else {
+            return;
+        };
+        if self.token.capacity() - self.token.len() >= count {
+            return;
         }
+        let is_whole = self.allocates_whole_strings && self.token.len() + count >= FIRST_PART;
+        let growth = if is_whole {
+            missing
+        } else {
+            missing.min(self.token.len().max(count))
+        };
+        self.token.reserve_exact(growth);
     }
 
     /// Parses a whole line. Returns its value, or `None` if it begins a bulk string or an array.
--- a/crates/agent/src/startup.rs
+++ b/crates/agent/src/startup.rs
@@ -32,7 +32,7 @@
 use crate::start_config::{
     self, MAX_DESCRIPTORS_PATH, RELEASE_UPDATE_PATH, SAVED_LIST_PATH, StartConfig,
 };
-use crate::transport::retry_at_startup;
+use crate::transport::{ByteLimit, retry_at_startup};
 use crate::upstream::UpstreamPool;
 
 /// File descriptors reserved for everything except connections to clients and endpoints: log, reactor, signals,
@@ -41,7 +41,7 @@
 /// The smallest number of connections to clients, and to endpoints, with which the agent can work.
 const MIN_CONNECTIONS: usize = 2;
 /// Requests and answers of clients may use the memory limit divided by this.
-const CLIENT_MEMORY_DIVISOR: usize = 4;
+const CLIENT_MEMORY_DIVISOR: usize = 5;
 /// A message of discovery may use the memory limit divided by this.
 const LIST_MEMORY_DIVISOR: usize = 16;
 
@@ -140,13 +140,24 @@
     config: &StartConfig,
     max_connections: usize,
 ) -> Result<(Rc<UpstreamPool>, Rc<Clients>), StartError> {
-    let upstream = UpstreamPool::new(event_loop.clone(), &config.settings, max_connections)?;
+    let held_bytes = ByteLimit::new(config.memory / CLIENT_MEMORY_DIVISOR);
+    // Requests alone may reach their bound; their replies have a quarter of it beside them.
+    let reply_bytes = ByteLimit {
+        budget: held_bytes.budget.clone(),
+        max_bytes: held_bytes.max_bytes / 4 * 5,
+    };
+    let upstream = UpstreamPool::new(
+        event_loop.clone(),
+        &config.settings,
+        max_connections,
+        reply_bytes,
+    )?;
     let clients = Clients::new(
         event_loop.clone(),
         upstream.clone(),
         &config.settings,
         max_connections,
-        config.memory / CLIENT_MEMORY_DIVISOR,
+        held_bytes,
     )?;
     Ok((upstream, clients))
 }
--- a/crates/agent/src/transport/byte_budget.rs
+++ b/crates/agent/src/transport/byte_budget.rs
@@ -6,6 +6,30 @@
 #[derive(Clone, Debug, Default)]
 pub struct ByteBudget(Rc<Cell<usize>>);
 
+/// A bound on what a budget holds.
+#[derive(Clone, Debug)]
+pub struct ByteLimit {
+    /// Counts the bytes.
+    pub budget: ByteBudget,
+    /// The bound, in bytes.
+    pub max_bytes: usize,
+}
+
+impl ByteLimit {
+    /// Bounds a new budget.
+    pub fn new(max_bytes: usize) -> Self {
+        ByteLimit {
+            budget: ByteBudget::default(),
+            max_bytes,
+        }
+    }
+
+    /// Whether as many bytes are held as may be.
+    pub fn is_reached(&self) -> bool {
+        self.budget.held() >= self.max_bytes
+    }
+}
+
 /// Counts `count` bytes as held until it is dropped.
 #[derive(Debug)]
 pub struct ByteReservation {
--- a/crates/agent/src/transport/input_reader.rs
+++ b/crates/agent/src/transport/input_reader.rs
@@ -10,7 +10,7 @@
 
 use super::ring_buffer::SocketRead;
 use super::system_call::{has_no_input, is_resource_shortage, pause_for_resources};
-use super::{ArrivalTracker, ByteBudget, ByteReservation, RingBuffer, TcpSocket, with_timeout};
+use super::{ArrivalTracker, ByteLimit, ByteReservation, RingBuffer, TcpSocket, with_timeout};
 use crate::log::ConnectionEnd;
 
 /// An incremental parser. After an error the stream cannot be parsed any further, and its connection has to be closed.
@@ -39,11 +39,50 @@
 /// The bound on the bytes of items that readers together have read in part.
 #[derive(Debug)]
 struct PartialItemLimit {
-    budget: ByteBudget,
+    limit: ByteLimit,
     /// Counts the bytes of this reader.
     reservation: ByteReservation,
-    /// The bound, in bytes.
-    max_bytes: usize,
+    /// How many bytes are reserved for an item before more than its first KiB is read, so that it can be read to its end;
+    /// `None` if only the bytes that have been read count.
+    item_reservation: Option<usize>,
+    /// Whether the current item has got its reservation.
+    has_item_reservation: bool,
+}
+
+impl PartialItemLimit {
+    fn new(limit: &ByteLimit, item_reservation: Option<usize>) -> Self {
+        PartialItemLimit {
+            limit: limit.clone(),
+            reservation: limit.budget.reserve(0),
+            item_reservation,
+            has_item_reservation: false,
+        }
+    }
+
+    /// Counts the bytes of an item that have been read so far, or 0 at its end.
+    fn count(&mut self, bytes: usize) {
+        if bytes == 0 {
+            self.has_item_reservation = false;
+        }
+        if !self.has_item_reservation {
+            self.reservation.resize(bytes);
+        }
+    }
+
+    /// Whether more of the item may be read now.
+    fn allows_reading(&mut self) -> bool {
+        if self.has_item_reservation || self.reservation.count() < UNLIMITED_BYTES {
+            return true;
+        }
+        if self.limit.is_reached() {
+            return false;
+        }
+        if let Some(bytes) = self.item_reservation {
+            self.has_item_reservation = true;
+            self.reservation.resize(bytes);
+        }
+        true
+    }
 }
 
 /// How much of an item is read without regard to the bound on partial items, in bytes: most items are shorter.
@@ -100,17 +139,22 @@
         }
     }
 
-    /// Leaves the input in the socket while the partial items of all readers with this budget hold `max_bytes` or more, but
-    /// for the first KiB of an item.
+    /// Leaves the input in the socket while `limit` is reached, which counts the partial items of all readers with its
+    /// budget, but for the first KiB of an item.
     #[must_use]
-    pub fn with_partial_item_limit(self, budget: &ByteBudget, max_bytes: usize) -> Self {
-        let limit = PartialItemLimit {
-            budget: budget.clone(),
-            reservation: budget.reserve(0),
-            max_bytes,
-        };
+    pub fn with_partial_item_limit(self, limit: &ByteLimit) -> Self {
+        InputReader {
+            partial_item_limit: Some(PartialItemLimit::new(limit, None)),
+            ..self
+        }
+    }
+
+    /// Leaves the input in the socket while `limit` is reached, but for the first KiB of an item. An item of which more is
+    /// read counts as `item_bytes` from then to its end, so that it need not wait for others that are incomplete, too.
+    #[must_use]
+    pub fn with_whole_item_limit(self, limit: &ByteLimit, item_bytes: usize) -> Self {
         InputReader {
-            partial_item_limit: Some(limit),
+            partial_item_limit: Some(PartialItemLimit::new(limit, Some(item_bytes))),
             ..self
         }
     }
@@ -176,17 +220,16 @@
     fn count_partial_item(&mut self) {
         let bytes = self.buffer.len() + self.parser.consumed_bytes();
         if let Some(limit) = &mut self.partial_item_limit {
-            limit.reservation.resize(bytes);
+            limit.count(bytes);
         }
     }
 
     /// Waits while the partial items of all readers exceed their bound. The read timeout of the item applies.
-    async fn wait_for_limit(&self) {
-        let Some(limit) = &self.partial_item_limit else {
+    async fn wait_for_limit(&mut self) {
+        let Some(limit) = &mut self.partial_item_limit else {
             return;
         };
-        while limit.reservation.count() >= UNLIMITED_BYTES && limit.budget.held() >= limit.max_bytes
-        {
+        while !limit.allows_reading() {
             Timer::after(LIMIT_POLL_INTERVAL).await;
         }
     }
--- a/crates/agent/src/transport/mod.rs
+++ b/crates/agent/src/transport/mod.rs
@@ -20,7 +20,7 @@
 
 pub use arrival::ArrivalTracker;
 pub use backlog::BacklogTracker;
-pub use byte_budget::{ByteBudget, ByteReservation};
+pub use byte_budget::{ByteBudget, ByteLimit, ByteReservation};
 pub use connect::{connect, with_timeout};
 pub use input_reader::{InputReader, Parse, items};
 pub use notifier::{Notifier, WakeSignal};
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -11,7 +11,7 @@
 use super::reply::{is_error_answer, is_rejection};
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, Resp};
-use crate::transport::{InputReader, RingBuffer, TcpSocket};
+use crate::transport::{ByteLimit, InputReader, RingBuffer, TcpSocket};
 
 /// A command that endpoints answer at once, after the requests before it, and that has no effect.
 const FENCE_COMMAND: [&[u8]; 2] = [b"SELECT", b"0"];
@@ -78,13 +78,15 @@
         process: EndpointProcess,
         opened: Duration,
         read_timeout: Duration,
+        reply_bytes: &ByteLimit,
         open: OpenConnectionGuard,
     ) -> Self {
         count(Count::ConnectionsOpened);
-        let parser = resp::ValueParser::default();
+        let parser = resp::ValueParser::with_whole_allocations();
         Connection {
             stream,
-            input: InputReader::new(parser, resp::MAX_MESSAGE, read_timeout),
+            input: InputReader::new(parser, resp::MAX_MESSAGE, read_timeout)
+                .with_whole_item_limit(reply_bytes, resp::MAX_MESSAGE),
             output: RingBuffer::new(resp::MAX_MESSAGE),
             process,
             last_used: opened,
--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -18,7 +18,7 @@
 use crate::event_loop::EventLoop;
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::outbound::{AttemptId, OutgoingAttempt, Upstream};
-use crate::transport::connect;
+use crate::transport::{ByteLimit, connect};
 
 /// The longest time for which Linux delays the acknowledgement of a reply, and so the surplus bytes behind it.
 const MAX_ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(200);
@@ -61,6 +61,9 @@
     /// How long a connection is not reused after a reply, so that surplus bytes are noticed before the next request is
     /// sent: as long as a reply may be delayed in the network, and by the acknowledgement of the reply before it.
     reuse_delay: Duration,
+    /// Bounds the bytes of requests and replies together, while a reply is read. Beyond it, replies of more than a KiB are
+    /// left in the sockets.
+    reply_bytes: ByteLimit,
     max_connections: usize,
     open_connections: Rc<Cell<usize>>,
 }
@@ -75,7 +78,8 @@
 }
 
 impl UpstreamPool {
-    /// Creates a pool without endpoints, for at most `max_connections` open connections.
+    /// Creates a pool without endpoints, for at most `max_connections` open connections. Replies are read while less is
+    /// held than `reply_bytes` allows.
     ///
     /// # Errors
     ///
@@ -84,6 +88,7 @@
         event_loop: Rc<EventLoop>,
         settings: &Settings,
         max_connections: usize,
+        reply_bytes: ByteLimit,
     ) -> Result<Rc<Self>, SettingsError> {
         Ok(Rc::new(UpstreamPool {
             event_loop,
@@ -99,6 +104,7 @@
                 .period("tick")?
                 .max(settings.duration("rules.answer-slack")?)
                 + MAX_ACKNOWLEDGEMENT_DELAY,
+            reply_bytes,
             max_connections,
             open_connections: Rc::default(),
         }))
@@ -214,6 +220,7 @@
             process,
             now,
             self.read_timeout,
+            &self.reply_bytes,
             guard,
         ))
     }
--- a/crates/agent/tests/input_reader.rs
+++ b/crates/agent/tests/input_reader.rs
@@ -6,7 +6,7 @@
 
 use async_io::Async;
 use lilacgate_agent::log::ConnectionEnd;
-use lilacgate_agent::transport::{ByteBudget, InputReader, Parse, with_timeout};
+use lilacgate_agent::transport::{ByteLimit, InputReader, Parse, with_timeout};
 use rstest::rstest;
 
 /// A parser that consumes an item only when all of its bytes are buffered.
@@ -74,11 +74,11 @@
 fn partial_items_of_all_readers_are_bounded() {
     const MAX_BYTES: usize = 4 << 10;
     const LENGTH: usize = 3 << 10;
-    let budget = ByteBudget::default();
+    let limit = ByteLimit::new(MAX_BYTES);
+    let budget = limit.budget.clone();
     let reader = |length| {
         let item = WholeItem { length };
-        InputReader::new(item, 64 << 10, Duration::from_secs(20))
-            .with_partial_item_limit(&budget, MAX_BYTES)
+        InputReader::new(item, 64 << 10, Duration::from_secs(20)).with_partial_item_limit(&limit)
     };
     let wait = Duration::from_millis(200);
     let (stalled_stream, _stalled_client) = connection_with(&[b'x'; MAX_BYTES]);
@@ -97,3 +97,40 @@
         assert_eq!(budget.held(), 0);
     });
 }
+
+/// Guards against replies of endpoints that together take the agent over its memory limit: while the bound is reached,
+/// another item stays in its socket, but for its first KiB. One that has got its reservation is read to its end, however
+/// many others are incomplete: otherwise all of them would wait for each other.
+#[test]
+fn items_are_read_whole_within_their_bound() {
+    const LENGTH: usize = 3 << 10;
+    let limit = ByteLimit::new(LENGTH);
+    let reader = |length| {
+        let item = WholeItem { length };
+        InputReader::new(item, 64 << 10, Duration::from_secs(20))
+            .with_whole_item_limit(&limit, LENGTH)
+    };
+    let wait = Duration::from_millis(200);
+    let (first_stream, mut first_endpoint) = connection_with(&[b'x'; LENGTH - 1]);
+    let (second_stream, _second_endpoint) = connection_with(&[b'y'; LENGTH]);
+    async_io::block_on(async {
+        let mut first = reader(LENGTH);
+        let incomplete = with_timeout(wait, first.next(&first_stream)).await;
+        assert_eq!(incomplete, Err(ConnectionEnd::TimedOut));
+        assert_eq!(limit.budget.held(), LENGTH);
+        let mut second = reader(LENGTH);
+        let waiting = with_timeout(wait, second.next(&second_stream)).await;
+        assert_eq!(waiting, Err(ConnectionEnd::TimedOut));
+        assert_eq!(limit.budget.held(), LENGTH + (1 << 10));
+        first_endpoint.write_all(b"x").expect("the last byte");
+        assert_eq!(
+            first.next(&first_stream).await,
+            Ok(Some(vec![b'x'; LENGTH]))
+        );
+        assert_eq!(
+            second.next(&second_stream).await,
+            Ok(Some(vec![b'y'; LENGTH]))
+        );
+        assert_eq!(limit.budget.held(), 0);
+    });
+}
--- a/crates/agent/tests/large_fleets.rs
+++ b/crates/agent/tests/large_fleets.rs
@@ -18,6 +18,7 @@
 use lilacgate_agent::json::Json;
 use lilacgate_agent::release_gate::{EventRouter, ReleaseGateHost};
 use lilacgate_agent::start_config::{self, StartConfig};
+use lilacgate_agent::transport::ByteLimit;
 use lilacgate_agent::transport::Parse;
 use lilacgate_agent::upstream::UpstreamPool;
 
@@ -42,7 +43,13 @@
         .expect("a decision engine")
         .engine;
     let event_loop = EventLoop::new(Duration::ZERO);
-    let pool = UpstreamPool::new(event_loop.clone(), &config.settings, 100).expect("a pool");
+    let pool = UpstreamPool::new(
+        event_loop.clone(),
+        &config.settings,
+        100,
+        ByteLimit::new(config.memory),
+    )
+    .expect("a pool");
     let max_message = config.memory / 16;
     let discovery = Discovery::new(
         event_loop.clone(),
