Health checks and requests pass over late copies of each other's replies

What was seen (the new test): a late copy of an answer, on a connection that now carries a health check, ended the check as malformed, so that a sound endpoint counted as failing; a late copy of a load report failed the next request's attempt, which then may have run and is not sent again where its class forbids it.

Cause: requests and health checks share connections, and what came next was taken for the reply to the last command.

Change: on a connection that has carried the other kind, an answer (an array) is no reply to a health check and a load report (a bulk string) none to a request; the next reply is read instead, within the time limit of the exchange, and the connection is closed afterwards. A connection that has not carried the other kind takes them as malformed, as before.

Test: late_copies_of_another_kind, both cases; before, Malformed where Succeeded is expected.

--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -54,6 +54,8 @@
     recent_answers: RecentAnswers,
     /// Whether a request has been sent, so that surplus answers may come.
     has_carried_request: bool,
+    /// Whether a health check has been sent, so that surplus load reports may come.
+    has_carried_health_check: bool,
     /// Whether surplus answers have come, so that the connection carries no further exchange.
     pub(super) has_surplus_answers: bool,
     /// The reason that is logged when the connection is dropped.
@@ -92,6 +94,7 @@
             last_used: opened,
             recent_answers: RecentAnswers::default(),
             has_carried_request: false,
+            has_carried_health_check: false,
             has_surplus_answers: false,
             close_reason: ConnectionEnd::Cancelled,
             _open: open,
@@ -116,7 +119,7 @@
     /// # Errors
     ///
     /// Returns the outcome of the exchange if no reply was read.
-    pub(super) async fn exchange(
+    async fn exchange(
         &mut self,
         command: Vec<u8>,
         fully_written: &Cell<bool>,
@@ -141,6 +144,10 @@
         fully_written: &Cell<bool>,
     ) -> Result<Resp, Outcome> {
         let mut reply = self.exchange(command, fully_written).await?;
+        if self.has_carried_health_check {
+            let is_load_report = |reply: &Resp| matches!(reply, Resp::Bulk(_));
+            reply = self.skip_surplus(reply, is_load_report).await?;
+        }
         if self.may_be_surplus(&reply) {
             reply = self.own_reply(reply).await?;
         }
@@ -149,6 +156,38 @@
         Ok(reply)
     }
 
+    /// Sends a health check and reads its reply. A late copy of an earlier answer is not taken for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of the exchange if its own reply was not read.
+    pub(super) async fn exchange_health_check(
+        &mut self,
+        command: Vec<u8>,
+    ) -> Result<Resp, Outcome> {
+        let mut reply = self.exchange(command, &Cell::new(false)).await?;
+        if self.has_carried_request {
+            let is_answer = |reply: &Resp| matches!(reply, Resp::Array(_));
+            reply = self.skip_surplus(reply, is_answer).await?;
+        }
+        self.has_carried_health_check = true;
+        Ok(reply)
+    }
+
+    /// Returns the first reply that is not surplus, beginning with `reply`.
+    async fn skip_surplus(
+        &mut self,
+        mut reply: Resp,
+        is_surplus: impl Fn(&Resp) -> bool,
+    ) -> Result<Resp, Outcome> {
+        while is_surplus(&reply) {
+            count(Count::SurplusReplies);
+            self.has_surplus_answers = true;
+            reply = self.next_reply().await?;
+        }
+        Ok(reply)
+    }
+
     /// Whether a reply may belong to an earlier request: an answer with the value of an earlier one, or a rejection, which
     /// is a promise that the request has not run.
     fn may_be_surplus(&self, reply: &Resp) -> bool {
--- a/crates/agent/src/upstream/health_check.rs
+++ b/crates/agent/src/upstream/health_check.rs
@@ -1,5 +1,4 @@
 //! Health checks, which ask an endpoint for its load report.
-use std::cell::Cell;
 use std::rc::Rc;
 
 use lilacgate_decision::{EndpointId, EventHandler as _, Outcome};
@@ -33,7 +32,7 @@
             None => self.open(endpoint).await?,
         };
         let command = resp::encode_command([&b"INFO"[..], b"load"].into_iter());
-        let reply = connection.exchange(command, &Cell::new(false)).await?;
+        let reply = connection.exchange_health_check(command).await?;
         let load_report = match reply {
             Resp::Bulk(load_report) => Ok(load_report),
             Resp::Error(_) => Err(Outcome::Failed),
--- a/crates/agent/tests/upstream.rs
+++ b/crates/agent/tests/upstream.rs
@@ -31,6 +31,9 @@
     number: AttemptNumber(0),
 };
 const REQUEST: &[u8; 5] = b"hello";
+const SUCCESS: &[u8] = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n";
+const INFO: &[u8] = b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n";
+const REPORT: &[u8] = b"$10\r\nlat_ms=3.5\r\n";
 const MAX_REPLY_BYTES: usize = 1 << 20;
 const TIMEOUT: Duration = Duration::from_secs(9);
 
@@ -240,6 +243,47 @@
     assert_eq!(reported, expected);
 }
 
+/// Serves one connection: replies to each of these commands in turn, and to the last one with the reply before first.
+fn serve_late_copy(listener: &TcpListener, exchanges: [(&'static [u8], &'static [u8]); 2]) {
+    let mut connection = listener.accept().expect("a connection").0;
+    let mut earlier_reply: &[u8] = b"";
+    for (command, reply) in exchanges {
+        let mut received = vec![0; command.len()];
+        connection.read_exact(&mut received).expect("a command");
+        assert_eq!(received, command);
+        connection.write_all(earlier_reply).expect("the late copy");
+        connection.write_all(reply).expect("the reply");
+        earlier_reply = reply;
+    }
+    connection.read_to_end(&mut Vec::new()).ok();
+}
+
+/// Guards against health checks and requests that fail by a late copy of the other's reply on the connection that they
+/// share: an answer is no load report, and a load report no answer.
+#[rstest]
+#[case::answer_before_a_load_report([(&REQUEST[..], SUCCESS), (INFO, REPORT)])]
+#[case::load_report_before_an_answer([(INFO, REPORT), (&REQUEST[..], SUCCESS)])]
+fn late_copies_of_another_kind(#[case] exchanges: [(&'static [u8], &'static [u8]); 2]) {
+    // Longer than a connection rests between two exchanges.
+    const PAUSE: Duration = Duration::from_millis(300);
+    let (event_loop, pool, listener) = pool_with_endpoint(9);
+    std::thread::spawn(move || serve_late_copy(&listener, exchanges));
+    for (command, _) in exchanges {
+        if command == INFO {
+            pool.clone().check_health(ENDPOINT);
+        } else {
+            send_hello(&event_loop, pool.clone(), ENDPOINT);
+        }
+        let mut handler = RecordingHandler {
+            may_send: true,
+            ..RecordingHandler::default()
+        };
+        let outcome = handler.wait_for_outcome(&event_loop);
+        assert_eq!(outcome, Some(Outcome::Succeeded));
+        std::thread::sleep(PAUSE);
+    }
+}
+
 /// The command that the agent writes behind a request whose reply may belong to an earlier one.
 const SELECT: &[u8; 23] = b"*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n";
 /// The exchanges after which the kernel of a connection begins to delay acknowledgements.
