An eviction asks each waiting connection once, and one table holds how long they may wait

At the bound each eviction asked every connection's socket for unread input twice, once to see who waits and once to choose how long an idle one has to.

--- a/crates/agent/src/clients/eviction.rs
+++ b/crates/agent/src/clients/eviction.rs
@@ -7,6 +7,7 @@
 
 use super::connection_state::{AwaitedInput, ConnectionState};
 use super::{COMMAND_TIMEOUT, Clients};
+use crate::clock::Clock;
 use crate::log::{ConnectionEnd, Count, count};
 
 /// How long a connection has for its first command before it may be evicted for another one.
@@ -26,23 +27,26 @@
     pub(super) fn evict_one(&self) -> bool {
         let clock = self.event_loop.clock;
         let now = clock.now();
-        let min_idle_time = self.min_idle_time();
         let connections = self.connections.borrow();
-        let evictable = connections.values().filter_map(|connection| {
-            let input = connection.awaited_input()?;
-            let grace = match input {
-                AwaitedInput::FirstByte => FIRST_COMMAND_GRACE,
-                AwaitedInput::RestOfCommand => PARTIAL_COMMAND_GRACE,
-                AwaitedInput::NextCommand => min_idle_time,
-            };
-            let since = connection.waiting_since(clock);
-            let order = (input == AwaitedInput::NextCommand, since);
-            (since + grace <= now).then_some((order, connection))
-        });
-        let Some((_, connection)) = evictable.min_by_key(|(order, _)| *order) else {
+        let waiting: Vec<_> = connections
+            .values()
+            .filter_map(WaitingConnection::of)
+            .collect();
+        let graces = Graces {
+            partial_command: PARTIAL_COMMAND_GRACE,
+            idle: Some(self.min_idle_time(connections.len(), &waiting)),
+        };
+        let evictable = waiting
+            .iter()
+            .filter(|waiting| graces.have_passed(waiting, clock, now));
+        let order = |waiting: &&WaitingConnection<'_>| {
+            let is_idle = waiting.input == AwaitedInput::NextCommand;
+            (is_idle, waiting.connection.waiting_since(clock))
+        };
+        let Some(waiting) = evictable.min_by_key(order) else {
             return false;
         };
-        evict(connection);
+        evict(waiting.connection);
         true
     }
 
@@ -50,19 +54,17 @@
     /// At the bound, any connection between two commands may be evicted, unless most places are held by clients that
     /// have not sent a whole command: such connections will be evictable soon, and a client between two requests would
     /// only come back.
-    fn min_idle_time(&self) -> Duration {
-        let connections = self.connections.borrow();
-        if connections.len() < self.max_connections {
+    fn min_idle_time(
+        &self,
+        open_connections: usize,
+        waiting: &[WaitingConnection<'_>],
+    ) -> Duration {
+        if open_connections < self.max_connections {
             return self.connect_timeout;
         }
-        let (mut idle, mut stalled) = (0, 0);
-        for connection in connections.values() {
-            match connection.awaited_input() {
-                Some(AwaitedInput::NextCommand) => idle += 1,
-                Some(_) => stalled += 1,
-                None => {}
-            }
-        }
+        let is_idle = |waiting: &&WaitingConnection<'_>| waiting.input == AwaitedInput::NextCommand;
+        let idle = waiting.iter().filter(is_idle).count();
+        let stalled = waiting.len() - idle;
         if stalled > idle {
             PARTIAL_COMMAND_GRACE
         } else {
@@ -134,16 +136,48 @@
     fn evict_stalled(&self, partial_command_grace: Duration) {
         let clock = self.event_loop.clock;
         let now = clock.now();
-        let is_stalled = |connection: &&Rc<ConnectionState>| {
-            let grace = match connection.awaited_input() {
-                Some(AwaitedInput::FirstByte) => FIRST_COMMAND_GRACE,
-                Some(AwaitedInput::RestOfCommand) => partial_command_grace,
-                Some(AwaitedInput::NextCommand) | None => return false,
-            };
-            connection.waiting_since(clock) + grace <= now
+        let graces = Graces {
+            partial_command: partial_command_grace,
+            idle: None,
         };
         let connections = self.connections.borrow();
-        connections.values().filter(is_stalled).for_each(evict);
+        connections
+            .values()
+            .filter_map(WaitingConnection::of)
+            .filter(|waiting| graces.have_passed(waiting, clock, now))
+            .for_each(|waiting| evict(waiting.connection));
+    }
+}
+
+/// A connection that waits for input.
+struct WaitingConnection<'a> {
+    connection: &'a Rc<ConnectionState>,
+    input: AwaitedInput,
+}
+
+impl<'a> WaitingConnection<'a> {
+    /// Looks whether a connection waits for input, which asks its socket.
+    fn of(connection: &'a Rc<ConnectionState>) -> Option<Self> {
+        let input = connection.awaited_input()?;
+        Some(WaitingConnection { connection, input })
+    }
+}
+
+/// How long connections may wait for input before they may be evicted.
+struct Graces {
+    partial_command: Duration,
+    /// `None` if connections between two commands are not evicted.
+    idle: Option<Duration>,
+}
+
+impl Graces {
+    fn have_passed(&self, waiting: &WaitingConnection<'_>, clock: Clock, now: Duration) -> bool {
+        let grace = match waiting.input {
+            AwaitedInput::FirstByte => Some(FIRST_COMMAND_GRACE),
+            AwaitedInput::RestOfCommand => Some(self.partial_command),
+            AwaitedInput::NextCommand => self.idle,
+        };
+        grace.is_some_and(|grace| waiting.connection.waiting_since(clock) + grace <= now)
     }
 }
 
