An answer behind the first part of an earlier one does not pass for its load report

An array in the place of the load report makes the reply malformed now; other types stay ignored. Test: an_answer_within_an_answer_is_malformed; before, the attempt succeeded with the earlier value.

--- a/crates/agent/src/upstream/reply.rs
+++ b/crates/agent/src/upstream/reply.rs
@@ -20,7 +20,8 @@
     }
 }
 
-/// Parses `[value, null, load report]`. A load report of the wrong type is ignored, and the value is used all the same.
+/// Parses `[value, null, load report]`. A load report of the wrong type is ignored, and the value is used all the same; but
+/// an array is no load report: it may be an answer behind the first part of another one.
 fn parse_success(items: Vec<Resp>) -> Option<Reply> {
     let [value, null, load_report] = <[Resp; 3]>::try_from(items).ok()?;
     let (Resp::Bulk(Some(value)), Resp::Bulk(None) | Resp::Array(None)) = (value, null) else {
@@ -28,6 +29,7 @@
     };
     let load_report = match load_report {
         Resp::Bulk(load_report) => load_report,
+        Resp::Array(Some(_)) => return None,
         _ => None,
     };
     Some(Reply {
--- a/crates/agent/tests/upstream.rs
+++ b/crates/agent/tests/upstream.rs
@@ -243,6 +243,29 @@
     assert_eq!(reported, expected);
 }
 
+/// Guards against serving the value of an earlier request whose answer came once more, without its end: the request's own
+/// answer would pass for the load report.
+#[test]
+fn an_answer_within_an_answer_is_malformed() {
+    let (event_loop, pool, listener) = pool_with_endpoint(9);
+    std::thread::spawn(move || {
+        let mut connection = listener.accept().expect("a connection").0;
+        connection.read_exact(&mut [0; 5]).expect("the command");
+        connection
+            .write_all(b"*3\r\n$7\r\nearlier\r\n$-1\r\n")
+            .expect("the first part");
+        connection.write_all(SUCCESS).expect("the answer");
+        connection.read_to_end(&mut Vec::new()).ok();
+    });
+    send_hello(&event_loop, pool, ENDPOINT);
+    let mut handler = RecordingHandler {
+        may_send: true,
+        ..RecordingHandler::default()
+    };
+    let outcome = handler.wait_for_outcome(&event_loop);
+    assert_eq!(outcome, Some(Outcome::Malformed));
+}
+
 /// Serves one connection: replies to each of these commands in turn, and to the last one with the reply before first.
 fn serve_late_copy(listener: &TcpListener, exchanges: [(&'static [u8], &'static [u8]); 2]) {
     let mut connection = listener.accept().expect("a connection").0;
