A scenario step's comment stands at its own function again

The check of signal masks, inserted above wait_for_faults, had taken its doc comment, and two imports from one module stood apart. Comments and imports of tests alone.

--- a/crates/agent/tests/large_fleets.rs
+++ b/crates/agent/tests/large_fleets.rs
@@ -18,8 +18,7 @@
 use lilacgate_agent::json::Json;
 use lilacgate_agent::release_gate::{EventRouter, ReleaseGateHost};
 use lilacgate_agent::start_config::{self, StartConfig};
-use lilacgate_agent::transport::ByteLimit;
-use lilacgate_agent::transport::Parse;
+use lilacgate_agent::transport::{ByteLimit, Parse};
 use lilacgate_agent::upstream::UpstreamPool;
 
 use crate::support::empty_recorder;
--- a/crates/agent/tests/scenario_player/agent_process.rs
+++ b/crates/agent/tests/scenario_player/agent_process.rs
@@ -95,7 +95,6 @@
         });
     }
 
-    /// Waits until each rule has hit at least this many calls.
     /// Checks that the main thread alone handles the signals that the agent handles, and that there are at least
     /// `helper_threads` others.
     fn check_signal_masks(&self, helper_threads: usize) {
@@ -116,6 +115,7 @@
         assert!(helpers >= helper_threads, "only {helpers} helper threads");
     }
 
+    /// Waits until each rule has hit at least this many calls.
     fn wait_for_faults(&self, least: u64) {
         let script = self.fault_script.as_ref().expect("a script of faults");
         let counts = || lilacgate_fault_script::counts::read(&script.counts).expect("the counts");
