An attempt is written only while it may be: a look at the clock before each system call

Cause: the decision is made with the clock of its round, and an attempt on an idle connection was written whenever its task came to it. Related, by the same cause: first attempts after their deadline, decisions that news had overtaken, and requests that a slow endpoint takes in parts, whose first bytes tell the time left.

Change: the engine names the end of the window (send_by) with each attempt; policy/write_timing.rs decides with the clock read directly before each system call. Too late: not sent, the connection stays. Decided over 25 ms ago: what has arrived is read, and the engine confirms. In the last 0.1 s of a window, where a hold-up behind the look could make the write late, repeats go out at least 0.25 ms apart. The gap between the look and the call stays there; repeats_written_late counts what falls into it.

Tests: write_timing (decision, 13 cases); an_attempt_is_written_only_while_it_may_be (cases 1 to 3) and a_request_that_is_read_slowly_is_not_written_to_its_end (agent) failed with the look taken out.

--- a/crates/agent/src/dispatcher.rs
+++ b/crates/agent/src/dispatcher.rs
@@ -101,7 +101,13 @@
 }
 
 impl Actions for RoundActions<'_> {
-    fn send_attempt(&mut self, id: RequestId, to: EndpointId, give_up_after: Duration) {
+    fn send_attempt(
+        &mut self,
+        id: RequestId,
+        to: EndpointId,
+        give_up_after: Duration,
+        send_by: Option<Duration>,
+    ) {
         count(Count::Attempts);
         let unanswered = self.dispatcher.event_loop.unanswered();
         let Some(attempt) = unanswered.start_attempt(id, self.now, give_up_after) else {
@@ -121,6 +127,7 @@
                 encoded_request: attempt.encoded_request,
                 started: self.now,
                 deadline: attempt.deadline,
+                send_by,
             });
     }
 
--- a/crates/agent/src/event_loop.rs
+++ b/crates/agent/src/event_loop.rs
@@ -135,16 +135,19 @@
         self.enqueue(move |router| router.on_shutdown(deadline));
     }
 
+    /// When the last answers have to be sent because of a shutdown: the answer slack before its deadline. Without a shutdown,
+    /// this is in the far future.
+    pub(crate) fn last_answer_time(&self) -> Duration {
+        let shutdown_deadline = self.shutdown_deadline.get();
+        shutdown_deadline.saturating_sub(self.answer_slack)
+    }
+
     /// Waits until `time`, or, during a shutdown, until the last answers have to be sent: the answer slack before the
     /// shutdown deadline.
     pub async fn wait_until_or_shutdown(&self, time: Duration) {
         let shutdown = async {
             self.shutdown_started.notified().await;
-            let last_answer = self
-                .shutdown_deadline
-                .get()
-                .saturating_sub(self.answer_slack);
-            self.clock.sleep_until(last_answer).await;
+            self.clock.sleep_until(self.last_answer_time()).await;
         };
         future::or(self.clock.sleep_until(time), shutdown).await;
     }
@@ -187,13 +190,13 @@
         });
     }
 
-    /// Asks the decision engine whether an attempt that had to wait for its connection may still be sent.
+    /// Asks the decision engine whether an attempt that had to wait may still be sent.
     pub async fn may_send(&self, id: RequestId, attempt: AttemptNumber) -> bool {
         let (sender, receiver) = async_channel::bounded(1);
         self.enqueue(move |router| {
             sender.try_send(router.may_send(id, attempt)).ok();
         });
-        receiver.recv().await.unwrap_or(false)
+        receiver.recv().await.unwrap_or(false) && !self.unanswered.is_over(id)
     }
 
     /// Handles the end of an attempt. The first success is passed to the client at once, and ends the request.
--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -58,6 +58,12 @@
     AttemptsCancelled "attempts_cancelled"
     /// Attempts that were never sent.
     AttemptsNotSent "attempts_not_sent"
+    /// Attempts whose decision was confirmed again, because they could not be written soon after it.
+    AttemptsConfirmed "attempts_confirmed"
+    /// Attempts that were not written, because it was too late.
+    AttemptsTooLate "attempts_too_late"
+    /// Repeats of keyed requests whose write ended after their deduplication window, although it was decided on before.
+    RepeatsWrittenLate "repeats_written_late"
     /// Connections to endpoints that were opened.
     ConnectionsOpened "connections_opened"
     /// Connections to endpoints that have ended.
--- a/crates/agent/src/outbound.rs
+++ b/crates/agent/src/outbound.rs
@@ -31,6 +31,9 @@
     pub started: Duration,
     /// When the attempt times out.
     pub deadline: Duration,
+    /// The end of the request's deduplication window, if the attempt is a repeat of one that may have run: it must not be
+    /// written from then on.
+    pub send_by: Option<Duration>,
 }
 
 impl fmt::Debug for OutgoingAttempt {
@@ -41,6 +44,7 @@
             .field("endpoint", &self.endpoint)
             .field("started", &self.started)
             .field("deadline", &self.deadline)
+            .field("send_by", &self.send_by)
             .finish_non_exhaustive()
     }
 }
--- a/crates/agent/src/transport/ring_buffer.rs
+++ b/crates/agent/src/transport/ring_buffer.rs
@@ -101,11 +101,28 @@
         })
     }
 
-    /// Writes as much as the socket takes, and returns the number of bytes.
-    fn write_to(&mut self, mut socket: &TcpStream) -> io::Result<usize> {
-        let count = retry_interrupted(|| socket.write(self.front()))?;
-        self.consume(count);
-        Ok(count)
+    /// Drops all buffered bytes.
+    pub(crate) fn clear(&mut self) {
+        self.bytes.clear();
+        self.shrink_if_empty();
+    }
+
+    /// Writes as much as the socket takes, and returns the number of bytes; `None` if `may_write` forbids it.
+    fn write_to(
+        &mut self,
+        mut socket: &TcpStream,
+        may_write: &mut impl FnMut() -> bool,
+    ) -> io::Result<Option<usize>> {
+        let front = self.front();
+        let written = retry_interrupted(|| {
+            if may_write() {
+                socket.write(front).map(Some)
+            } else {
+                Ok(None)
+            }
+        })?;
+        self.consume(written.unwrap_or(0));
+        Ok(written)
     }
 
     /// Writes all buffered bytes.
@@ -114,15 +131,31 @@
     ///
     /// Returns the code of the socket's error, or [`ConnectionEnd::Reset`] if a write takes no bytes.
     pub async fn flush(&mut self, stream: &TcpSocket) -> Result<(), ConnectionEnd> {
+        self.flush_while(stream, || true).await.map(|_| ())
+    }
+
+    /// Writes all buffered bytes for as long as `may_write` allows, which is asked directly before each system call.
+    /// Returns whether all were written.
+    ///
+    /// # Errors
+    ///
+    /// Returns the code of the socket's error, or [`ConnectionEnd::Reset`] if a write takes no bytes.
+    pub async fn flush_while(
+        &mut self,
+        stream: &TcpSocket,
+        mut may_write: impl FnMut() -> bool,
+    ) -> Result<bool, ConnectionEnd> {
         while !self.bytes.is_empty() {
-            match stream.write_with(|socket| self.write_to(socket)).await {
-                Ok(0) => return Err(ConnectionEnd::Reset),
-                Ok(_) => {}
+            let written = stream.write_with(|socket| self.write_to(socket, &mut may_write));
+            match written.await {
+                Ok(None) => return Ok(false),
+                Ok(Some(0)) => return Err(ConnectionEnd::Reset),
+                Ok(Some(_)) => {}
                 Err(error) if is_resource_shortage(&error) => pause_for_resources().await,
                 Err(error) => return Err(error.into()),
             }
         }
         self.shrink_if_empty();
-        Ok(())
+        Ok(true)
     }
 }
--- a/crates/agent/src/unanswered.rs
+++ b/crates/agent/src/unanswered.rs
@@ -99,6 +99,14 @@
             .is_some_and(|request| request.callback.is_some())
     }
 
+    /// Whether a request in the table needs no answer any more, of which the decision engine has not been notified yet.
+    pub(crate) fn is_over(&self, id: RequestId) -> bool {
+        self.requests
+            .borrow()
+            .get(&id)
+            .is_some_and(|request| request.callback.is_none())
+    }
+
     /// Takes the callback of a request that still needs its final answer. Afterwards it needs none.
     pub(crate) fn take_callback(&self, id: RequestId) -> Option<AnswerCallback> {
         self.requests.borrow_mut().get_mut(&id)?.callback.take()
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lilacgate_decision::{Build, Outcome};
+use lilacgate_decision::{Build, Outcome, WriteStep};
 use socket2::SockRef;
 
 use super::recent_answers::RecentAnswers;
 use super::reply::{is_error_answer, is_rejection};
+use super::request_write::RequestWrite;
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, Resp};
 use crate::transport::{ByteLimit, InputReader, RingBuffer, TcpSocket};
@@ -113,37 +114,43 @@
         false
     }
 
-    /// Sends a command and reads its reply. Sets `fully_written` once the socket has taken the last byte; before that,
-    /// the endpoint cannot have run the command.
+    /// Writes a request, for as long as `write` allows. Returns [`WriteStep::Write`] once the socket has taken the last byte;
+    /// before that, the endpoint cannot have run the request. Any other step is to be taken before it may be written; then
+    /// nothing has been written, and the connection can still be used.
     ///
     /// # Errors
     ///
-    /// Returns the outcome of the exchange if no reply was read.
-    async fn exchange(
+    /// Returns the outcome of the attempt if the request was not fully written.
+    pub(super) async fn write_request(
         &mut self,
         command: Vec<u8>,
-        fully_written: &Cell<bool>,
-    ) -> Result<Resp, Outcome> {
-        if let Err(end) = self.write(command).await {
-            self.close_reason = end;
-            return Err(Outcome::ConnectFailed);
+        write: &RequestWrite<'_>,
+    ) -> Result<WriteStep, Outcome> {
+        self.output.append(&command);
+        // The wait for the reply is long; the command is not needed any more.
+        drop(command);
+        let flush = self.output.flush_while(&self.stream, || write.may_write());
+        match flush.await {
+            Ok(true) => Ok(WriteStep::Write),
+            Ok(false) => {
+                self.output.clear();
+                self.close_reason = ConnectionEnd::TimedOut;
+                write.step_before().ok_or(Outcome::NotSent)
+            }
+            Err(end) => {
+                self.close_reason = end;
+                Err(Outcome::ConnectFailed)
+            }
         }
-        fully_written.set(true);
-        self.next_reply().await
     }
 
-    /// Sends a request and reads its own reply, as [`exchange`](Self::exchange) does, but what belongs to an earlier request
-    /// is not taken for it.
+    /// Reads the reply to the request that was written last. What belongs to an earlier request is not taken for it.
     ///
     /// # Errors
     ///
-    /// Returns the outcome of the exchange if its own reply was not read.
-    pub(super) async fn exchange_request(
-        &mut self,
-        command: Vec<u8>,
-        fully_written: &Cell<bool>,
-    ) -> Result<Resp, Outcome> {
-        let mut reply = self.exchange(command, fully_written).await?;
+    /// Returns the outcome of the attempt if its own reply was not read.
+    pub(super) async fn read_request_reply(&mut self) -> Result<Resp, Outcome> {
+        let mut reply = self.next_reply().await?;
         if self.has_carried_health_check {
             let is_load_report = |reply: &Resp| matches!(reply, Resp::Bulk(_));
             reply = self.skip_surplus(reply, is_load_report).await?;
@@ -165,7 +172,11 @@
         &mut self,
         command: Vec<u8>,
     ) -> Result<Resp, Outcome> {
-        let mut reply = self.exchange(command, &Cell::new(false)).await?;
+        if let Err(end) = self.write(command).await {
+            self.close_reason = end;
+            return Err(Outcome::ConnectFailed);
+        }
+        let mut reply = self.next_reply().await?;
         if self.has_carried_request {
             let is_answer = |reply: &Resp| matches!(reply, Resp::Array(_));
             reply = self.skip_surplus(reply, is_answer).await?;
@@ -219,8 +230,6 @@
 
     async fn write(&mut self, command: Vec<u8>) -> Result<(), ConnectionEnd> {
         self.output.append(&command);
-        // The wait for the reply is long; the command is not needed any more.
-        drop(command);
         self.output.flush(&self.stream).await
     }
 
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -20,5 +20,6 @@
 mod pool;
 mod recent_answers;
 mod reply;
+mod request_write;
 
 pub use pool::UpstreamPool;
--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -9,7 +9,7 @@
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::StreamExt;
-use lilacgate_decision::{Endpoint, EndpointId, EndpointStatus, Outcome};
+use lilacgate_decision::{Endpoint, EndpointId, EndpointStatus, Outcome, WriteTiming};
 use lilacgate_start_settings::{Settings, SettingsError};
 
 use super::attempt::Attempt;
@@ -52,12 +52,14 @@
     endpoints: RefCell<HashMap<EndpointId, UpstreamEndpoint>>,
     /// The channels by which attempts under way are cancelled.
     pub(super) cancellations: RefCell<HashMap<AttemptId, Sender<()>>>,
+    /// Decides when attempts may still be written.
+    pub(super) write_timing: RefCell<WriteTiming>,
     /// The names of the load report fields that the decision engine uses, in its order.
     pub(super) load_fields: Vec<String>,
     pub(super) connect_timeout: Duration,
     /// The time limit for a reply from its first byte to its last.
     read_timeout: Duration,
-    idle_timeout: Duration,
+    pub(super) idle_timeout: Duration,
     /// How long a connection is not reused after a reply, so that surplus bytes are noticed before the next request is
     /// sent: as long as a reply may be delayed in the network, and by the acknowledgement of the reply before it.
     reuse_delay: Duration,
@@ -94,6 +96,7 @@
             event_loop,
             endpoints: RefCell::default(),
             cancellations: RefCell::default(),
+            write_timing: RefCell::default(),
             load_fields: settings.names("feedback.names")?,
             connect_timeout: settings.period("limits.connect-timeout")?,
             read_timeout: settings.longest_deadline()?,
--- a/crates/agent/tests/upstream.rs
+++ b/crates/agent/tests/upstream.rs
@@ -32,6 +32,7 @@
 };
 const REQUEST: &[u8; 5] = b"hello";
 const SUCCESS: &[u8] = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n";
+const OTHER_SUCCESS: &[u8] = b"*3\r\n$5\r\nother\r\n$-1\r\n$-1\r\n";
 const INFO: &[u8] = b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n";
 const REPORT: &[u8] = b"$10\r\nlat_ms=3.5\r\n";
 const MAX_REPLY_BYTES: usize = 1 << 20;
@@ -42,6 +43,8 @@
 struct RecordingHandler {
     may_send: bool,
     outcome: Option<Outcome>,
+    /// How all attempts ended.
+    outcomes: Vec<Outcome>,
     loads: Vec<(EndpointId, Vec<f32>)>,
 }
 
@@ -57,6 +60,7 @@
         _: bool,
     ) {
         self.outcome = Some(outcome);
+        self.outcomes.push(outcome);
     }
     fn on_response_started(&mut self, _: RequestId, _: AttemptNumber, _: EndpointId, _: Duration) {}
     fn on_client_disconnected(&mut self, _: RequestId) {}
@@ -126,6 +130,7 @@
         encoded_request,
         started: now,
         deadline: now + TIMEOUT,
+        send_by: None,
     });
 }
 
@@ -363,3 +368,139 @@
     expected[EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS] = Outcome::Rejected;
     assert_eq!(outcomes, expected);
 }
+
+/// Longer than a connection rests between two exchanges.
+const REST: Duration = Duration::from_millis(300);
+
+/// Serves one connection: answers the first request, and returns what comes behind it.
+fn read_behind_first_request(listener: &TcpListener) -> Vec<u8> {
+    let mut connection = listener.accept().expect("a connection").0;
+    connection.read_exact(&mut [0; 5]).expect("the command");
+    connection.write_all(SUCCESS).expect("the answer");
+    let mut behind = [0; REQUEST.len()];
+    let count = connection.read(&mut behind).unwrap_or(0);
+    connection.write_all(OTHER_SUCCESS).ok();
+    connection.read_to_end(&mut Vec::new()).ok();
+    behind[..count].to_vec()
+}
+
+/// An agent was held up between its decision and the write, on a connection that is open already.
+#[rstest]
+#[case::repeat_after_its_window(0, Some(0), TIMEOUT, true, Outcome::NotSent)]
+#[case::after_its_deadline(0, None, Duration::ZERO, true, Outcome::NotSent)]
+#[case::client_or_endpoint_gone_meanwhile(140, None, TIMEOUT, false, Outcome::NotSent)]
+#[case::still_wanted(140, None, TIMEOUT, true, Outcome::Succeeded)]
+#[case::repeat_in_time(0, Some(2900), TIMEOUT, true, Outcome::Succeeded)]
+#[case::repeat_at_the_end_of_its_window(0, Some(90), TIMEOUT, true, Outcome::Succeeded)]
+fn an_attempt_is_written_only_while_it_may_be(
+    #[case] decided_ago_ms: u64,
+    #[case] window_left_ms: Option<u64>,
+    #[case] timeout: Duration,
+    #[case] may_send: bool,
+    #[case] expected: Outcome,
+) {
+    let (event_loop, pool, listener) = pool_with_endpoint(9);
+    let received = std::thread::spawn(move || read_behind_first_request(&listener));
+    let mut handler = RecordingHandler {
+        may_send: true,
+        ..RecordingHandler::default()
+    };
+    send_hello(&event_loop, pool.clone(), ENDPOINT);
+    let outcome = handler.wait_for_outcome(&event_loop);
+    assert_eq!(outcome, Some(Outcome::Succeeded));
+    std::thread::sleep(REST);
+    let now = event_loop.clock.now();
+    pool.clone().send_attempt(OutgoingAttempt {
+        id: ATTEMPT,
+        endpoint: ENDPOINT,
+        encoded_request: Rc::new(|_| REQUEST.to_vec()),
+        started: now - Duration::from_millis(decided_ago_ms),
+        deadline: now + timeout,
+        send_by: window_left_ms.map(|left| now + Duration::from_millis(left)),
+    });
+    let mut handler = RecordingHandler {
+        may_send,
+        ..RecordingHandler::default()
+    };
+    assert_eq!(handler.wait_for_outcome(&event_loop), Some(expected));
+    drop((event_loop, pool));
+    let is_written = !received
+        .join()
+        .expect("the endpoint's thread ends")
+        .is_empty();
+    assert_eq!(is_written, expected == Outcome::Succeeded);
+}
+
+/// Guards against a request whose last bytes come long after its first ones, which tell how much time its client has
+/// left: an endpoint that is slow to read would be told too much.
+#[test]
+fn a_request_that_is_read_slowly_is_not_written_to_its_end() {
+    // Larger than the buffers of both sockets.
+    const BYTES: usize = 96 << 20;
+    const STALL: Duration = Duration::from_millis(250);
+    let (event_loop, pool, listener) = pool_with_endpoint(9);
+    let received = std::thread::spawn(move || {
+        let mut connection = listener.accept().expect("a connection").0;
+        std::thread::sleep(STALL);
+        let mut bytes = Vec::new();
+        connection.read_to_end(&mut bytes).ok();
+        bytes.len()
+    });
+    let now = event_loop.clock.now();
+    pool.clone().send_attempt(OutgoingAttempt {
+        id: ATTEMPT,
+        endpoint: ENDPOINT,
+        encoded_request: Rc::new(|_| vec![b'x'; BYTES]),
+        started: now,
+        deadline: now + Duration::from_secs(2),
+        send_by: None,
+    });
+    let mut handler = RecordingHandler {
+        may_send: true,
+        ..RecordingHandler::default()
+    };
+    let outcome = handler.wait_for_outcome(&event_loop);
+    assert_eq!(outcome, Some(Outcome::NotSent));
+    drop((event_loop, pool));
+    assert!(received.join().expect("the endpoint's thread ends") < BYTES);
+}
+
+/// Repeats near the end of their window wait for each other's writes, and are written.
+#[test]
+fn repeats_at_the_end_of_their_window_are_written_one_by_one() {
+    const REPEATS: u32 = 10;
+    let (event_loop, pool, listener) = pool_with_endpoint(usize::MAX);
+    std::thread::spawn(move || {
+        for mut connection in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                connection.read_exact(&mut [0; 5]).expect("the command");
+                connection.write_all(SUCCESS).expect("the answer");
+                connection.read_to_end(&mut Vec::new()).ok();
+            });
+        }
+    });
+    let now = event_loop.clock.now();
+    for request in 0..REPEATS {
+        pool.clone().send_attempt(OutgoingAttempt {
+            id: AttemptId {
+                request: RequestId(request),
+                number: AttemptNumber(1),
+            },
+            endpoint: ENDPOINT,
+            encoded_request: Rc::new(|_| REQUEST.to_vec()),
+            started: now,
+            deadline: now + TIMEOUT,
+            send_by: Some(now + Duration::from_millis(90)),
+        });
+    }
+    let mut handler = RecordingHandler {
+        may_send: true,
+        ..RecordingHandler::default()
+    };
+    while handler.outcomes.len() < REPEATS as usize {
+        handler.outcome = None;
+        handler.wait_for_outcome(&event_loop);
+    }
+    let expected = [Outcome::Succeeded; REPEATS as usize];
+    assert_eq!(handler.outcomes, expected);
+}
--- a/crates/decision/examples/round_cost.rs
+++ b/crates/decision/examples/round_cost.rs
@@ -91,7 +91,7 @@
 }
 
 impl Actions for Decided {
-    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration) {
+    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration, _: Option<Duration>) {
         self.sent.push((id, to));
     }
     fn reject(&mut self, _: RequestId, _: Duration) {}
--- a/crates/decision/src/actions.rs
+++ b/crates/decision/src/actions.rs
@@ -89,8 +89,14 @@
 /// Carries out the engine's decisions, in the order in which they are made.
 pub trait Actions {
     /// Sends a request to an endpoint. The attempt times out after `timeout`; if that is zero, at the request's
-    /// deadline.
-    fn send_attempt(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration);
+    /// deadline. It must not be written at `send_by` or later.
+    fn send_attempt(
+        &mut self,
+        id: RequestId,
+        endpoint: EndpointId,
+        timeout: Duration,
+        send_by: Option<Duration>,
+    );
 
     /// Answers the client that the request did not run, and may be retried after `retry_after`.
     fn reject(&mut self, id: RequestId, retry_after: Duration);
--- a/crates/decision/src/engine/attempts.rs
+++ b/crates/decision/src/engine/attempts.rs
@@ -219,13 +219,14 @@
             outcome: None,
             is_cancelled: false,
         };
+        let send_by = retry::resend_limit(request);
         // Until its outcome proves otherwise, this attempt may have run. The first such attempt determines the cell or
         // zone that later attempts are confined to, and the start of the deduplication window.
         request
             .possible_execution
             .get_or_insert(PossibleExecution::from(&attempt));
         request.attempts.push(attempt);
-        actions.send_attempt(id, endpoint, Duration::ZERO);
+        actions.send_attempt(id, endpoint, Duration::ZERO, send_by);
     }
 
     /// Whether an attempt that has waited for a connection may still be sent. Meanwhile its endpoint may be draining or
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -29,4 +29,5 @@
     SlowStartSettings, Stage, Tenant, TimerId, Vote, VoteTiming, Zone,
 };
 pub use policy::sequential_test::{SequentialTest, SequentialTestSettings};
+pub use policy::write_timing::{WriteLimits, WriteStep, WriteTiming};
 pub use release_permissions::ReleasePermissions;
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -13,3 +13,4 @@
 pub(crate) mod slow_start;
 pub(crate) mod subsetting;
 pub(crate) mod voting;
+pub(crate) mod write_timing;
--- a/crates/decision/src/policy/retry.rs
+++ b/crates/decision/src/policy/retry.rs
@@ -75,15 +75,23 @@
     pub(crate) shutdown_deadline: Duration,
 }
 
-/// Whether the rules of idempotency permit one more attempt: the request has not run, or may run twice, or its key is
-/// still within the deduplication window of the endpoints that know it.
-pub(crate) fn may_resend(request: &PendingRequest, now: Duration) -> bool {
+/// The end of the deduplication window, if the request is keyed and may have run: endpoints run what they get later.
+pub(crate) fn resend_limit(request: &PendingRequest) -> Option<Duration> {
     match (request.policy.idempotency, request.possible_execution) {
-        (_, None) | (Idempotency::Idempotent, _) => true,
         (Idempotency::Keyed(_), Some(first)) => {
-            now < first.sent_at + request.policy.deduplication_window
+            Some(first.sent_at + request.policy.deduplication_window)
         }
-        (Idempotency::NonIdempotent, Some(_)) => false,
+        _ => None,
+    }
+}
+
+/// Whether the rules of idempotency permit one more attempt: the request has not run, or may run twice, or its key is
+/// still within the deduplication window of the endpoints that know it.
+pub(crate) fn may_resend(request: &PendingRequest, now: Duration) -> bool {
+    match request.policy.idempotency {
+        Idempotency::Idempotent => true,
+        Idempotency::Keyed(_) => resend_limit(request).is_none_or(|limit| now < limit),
+        Idempotency::NonIdempotent => request.possible_execution.is_none(),
     }
 }
 
--- a/crates/decision/tests/engine/main.rs
+++ b/crates/decision/tests/engine/main.rs
@@ -9,3 +9,4 @@
 mod scenarios;
 mod subset;
 mod support;
+mod write_timing;
--- a/crates/decision/tests/engine/same_decisions.rs
+++ b/crates/decision/tests/engine/same_decisions.rs
@@ -133,7 +133,7 @@
 }
 
 impl Actions for Digest {
-    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration) {
+    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration, _: Option<Duration>) {
         self.add(&format!("submit {} {}", id.0, to.0));
         self.sent.push((id, to));
     }
--- a/crates/decision/tests/engine/scenarios/recorder.rs
+++ b/crates/decision/tests/engine/scenarios/recorder.rs
@@ -67,7 +67,13 @@
 }
 
 impl Actions for Recorder {
-    fn send_attempt(&mut self, request: RequestId, endpoint: EndpointId, _: Duration) {
+    fn send_attempt(
+        &mut self,
+        request: RequestId,
+        endpoint: EndpointId,
+        _: Duration,
+        _: Option<Duration>,
+    ) {
         self.add(format!("send {} {}", request.0, endpoint.0));
         let number = self.attempts.next(request);
         if let Some(timeline) = &mut self.timeline {
--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -60,7 +60,7 @@
 }
 
 impl Actions for Decided {
-    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration) {
+    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration, _: Option<Duration>) {
         self.list.push(Decision::Attempt { request: id, to });
     }
 
--- a/crates/simulator-adapter/src/wire/reply.rs
+++ b/crates/simulator-adapter/src/wire/reply.rs
@@ -121,7 +121,14 @@
 }
 
 impl Actions for Reply {
-    fn send_attempt(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) {
+    fn send_attempt(
+        &mut self,
+        id: RequestId,
+        endpoint: EndpointId,
+        timeout: Duration,
+        // The simulator's clock stands still between a batch and its reply.
+        _send_by: Option<Duration>,
+    ) {
         let record = ActionRecord::new(action::code::SEND_ATTEMPT)
             .with(action::REQUEST, id.0.to_be_bytes())
             .with(action::SEND_ATTEMPT_ENDPOINT, endpoint.0.to_be_bytes())
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -318,10 +318,10 @@
 
 #[rstest]
 #[case::send_attempt(
-    |reply: &mut Reply| reply.send_attempt(REQUEST, ENDPOINT, Duration::from_millis(80)),
+    |reply: &mut Reply| reply.send_attempt(REQUEST, ENDPOINT, Duration::from_millis(80), None),
     "01 5d3a91c4 03124a07 00013880", "")]
 #[case::send_attempt_without_end(
-    |reply: &mut Reply| reply.send_attempt(REQUEST, ENDPOINT, Duration::from_secs(5000)),
+    |reply: &mut Reply| reply.send_attempt(REQUEST, ENDPOINT, Duration::from_secs(5000), None),
     "01 5d3a91c4 03124a07 ffffffff", "")]
 #[case::reject(
     |reply: &mut Reply| reply.reject(REQUEST, Duration::from_millis(250)),
--- a/crates/test-bed/src/recorded_actions.rs
+++ b/crates/test-bed/src/recorded_actions.rs
@@ -25,7 +25,7 @@
 }
 
 impl Actions for RecordedActions {
-    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration) {
+    fn send_attempt(&mut self, id: RequestId, to: EndpointId, _: Duration, _: Option<Duration>) {
         self.sent.push((id, to));
     }
     fn reject(&mut self, id: RequestId, _: Duration) {
