A connection that was not written to keeps its close reason; upstream tests share an attempt

A connection that a refused write left untouched was marked as timed out, and would have logged that reason when it was closed for another one. The fields of RequestWrite were open to the module without need. The upstream tests spelled out the same attempt four times, and the rest of a connection twice; one function and one constant serve all. Assertions are unchanged.

--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -134,8 +134,10 @@
             Ok(true) => Ok(WriteStep::Write),
             Ok(false) => {
                 self.output.clear();
-                self.close_reason = ConnectionEnd::TimedOut;
-                write.step_before().ok_or(Outcome::NotSent)
+                write.step_before().ok_or_else(|| {
+                    self.close_reason = ConnectionEnd::TimedOut;
+                    Outcome::NotSent
+                })
             }
             Err(end) => {
                 self.close_reason = end;
--- a/crates/agent/src/upstream/request_write.rs
+++ b/crates/agent/src/upstream/request_write.rs
@@ -8,14 +8,14 @@
 
 /// One try to write a request to a connection.
 pub(super) struct RequestWrite<'a> {
-    pub(super) clock: Clock,
+    clock: Clock,
     /// Decides on the writes of all attempts.
-    pub(super) timing: &'a RefCell<WriteTiming>,
-    pub(super) limits: WriteLimits,
+    timing: &'a RefCell<WriteTiming>,
+    limits: WriteLimits,
     /// When the time left to the client, which the request tells, was determined.
-    pub(super) encoded_at: Duration,
+    encoded_at: Duration,
     /// The instant that is reserved for this write, if it had to wait.
-    pub(super) reserved: Option<Duration>,
+    reserved: Option<Duration>,
     /// What was decided before the first system call.
     step: Cell<Option<WriteStep>>,
 }
--- a/crates/agent/tests/upstream.rs
+++ b/crates/agent/tests/upstream.rs
@@ -37,6 +37,8 @@
 const REPORT: &[u8] = b"$10\r\nlat_ms=3.5\r\n";
 const MAX_REPLY_BYTES: usize = 1 << 20;
 const TIMEOUT: Duration = Duration::from_secs(9);
+/// Longer than a connection rests between two exchanges.
+const REST: Duration = Duration::from_millis(300);
 
 /// Records how attempts and health checks end, and answers whether an attempt may still be sent.
 #[derive(Default)]
@@ -120,17 +122,25 @@
     (event_loop, pool, listener)
 }
 
-/// Sends an attempt whose encoded request is [`REQUEST`].
-fn send_hello(event_loop: &EventLoop, pool: Rc<UpstreamPool>, endpoint: EndpointId) {
-    let now = event_loop.clock.now();
+/// An attempt that is decided on at `now`, and whose encoded request is [`REQUEST`].
+fn hello(now: Duration) -> OutgoingAttempt {
     let encoded_request: EncodedRequest = Rc::new(|_| REQUEST.to_vec());
-    pool.send_attempt(OutgoingAttempt {
+    OutgoingAttempt {
         id: ATTEMPT,
-        endpoint,
+        endpoint: ENDPOINT,
         encoded_request,
         started: now,
         deadline: now + TIMEOUT,
         send_by: None,
+    }
+}
+
+/// Sends an attempt whose encoded request is [`REQUEST`].
+fn send_hello(event_loop: &EventLoop, pool: Rc<UpstreamPool>, endpoint: EndpointId) {
+    let attempt = hello(event_loop.clock.now());
+    pool.send_attempt(OutgoingAttempt {
+        endpoint,
+        ..attempt
     });
 }
 
@@ -292,8 +302,6 @@
 #[case::answer_before_a_load_report([(&REQUEST[..], SUCCESS), (INFO, REPORT)])]
 #[case::load_report_before_an_answer([(INFO, REPORT), (&REQUEST[..], SUCCESS)])]
 fn late_copies_of_another_kind(#[case] exchanges: [(&'static [u8], &'static [u8]); 2]) {
-    // Longer than a connection rests between two exchanges.
-    const PAUSE: Duration = Duration::from_millis(300);
     let (event_loop, pool, listener) = pool_with_endpoint(9);
     std::thread::spawn(move || serve_late_copy(&listener, exchanges));
     for (command, _) in exchanges {
@@ -308,7 +316,7 @@
         };
         let outcome = handler.wait_for_outcome(&event_loop);
         assert_eq!(outcome, Some(Outcome::Succeeded));
-        std::thread::sleep(PAUSE);
+        std::thread::sleep(REST);
     }
 }
 
@@ -369,9 +377,6 @@
     assert_eq!(outcomes, expected);
 }
 
-/// Longer than a connection rests between two exchanges.
-const REST: Duration = Duration::from_millis(300);
-
 /// Serves one connection: answers the first request, and returns what comes behind it.
 fn read_behind_first_request(listener: &TcpListener) -> Vec<u8> {
     let mut connection = listener.accept().expect("a connection").0;
@@ -411,12 +416,10 @@
     std::thread::sleep(REST);
     let now = event_loop.clock.now();
     pool.clone().send_attempt(OutgoingAttempt {
-        id: ATTEMPT,
-        endpoint: ENDPOINT,
-        encoded_request: Rc::new(|_| REQUEST.to_vec()),
         started: now - Duration::from_millis(decided_ago_ms),
         deadline: now + timeout,
         send_by: window_left_ms.map(|left| now + Duration::from_millis(left)),
+        ..hello(now)
     });
     let mut handler = RecordingHandler {
         may_send,
@@ -448,12 +451,9 @@
     });
     let now = event_loop.clock.now();
     pool.clone().send_attempt(OutgoingAttempt {
-        id: ATTEMPT,
-        endpoint: ENDPOINT,
         encoded_request: Rc::new(|_| vec![b'x'; BYTES]),
-        started: now,
         deadline: now + Duration::from_secs(2),
-        send_by: None,
+        ..hello(now)
     });
     let mut handler = RecordingHandler {
         may_send: true,
@@ -486,11 +486,8 @@
                 request: RequestId(request),
                 number: AttemptNumber(1),
             },
-            endpoint: ENDPOINT,
-            encoded_request: Rc::new(|_| REQUEST.to_vec()),
-            started: now,
-            deadline: now + TIMEOUT,
             send_by: Some(now + Duration::from_millis(90)),
+            ..hello(now)
         });
     }
     let mut handler = RecordingHandler {
