Rename only: writes_confirmed and writes_too_late, since attempts_* add up to attempts

docs/on-call.md says that the counters attempts_* are the outcomes of attempts and add up to attempts. Two counters that came with the look at the clock count writes, and broke that sum.

--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -59,9 +59,9 @@
     /// Attempts that were never sent.
     AttemptsNotSent "attempts_not_sent"
     /// Attempts whose decision was confirmed again, because they could not be written soon after it.
-    AttemptsConfirmed "attempts_confirmed"
+    WritesConfirmed "writes_confirmed"
     /// Attempts that were not written, because it was too late.
-    AttemptsTooLate "attempts_too_late"
+    WritesTooLate "writes_too_late"
     /// Repeats of keyed requests whose write ended after their deduplication window, although it was decided on before.
     RepeatsWrittenLate "repeats_written_late"
     /// Connections to endpoints that were opened.
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -140,7 +140,7 @@
         match step {
             WriteStep::Write => true,
             WriteStep::Confirm => {
-                count(Count::AttemptsConfirmed);
+                count(Count::WritesConfirmed);
                 // Timers expire in a poll for events, so that what has arrived by now is read before the engine is asked.
                 Timer::after(EVENT_POLL_PAUSE).await;
                 self.confirm(pool).await
@@ -151,7 +151,7 @@
                 true
             }
             WriteStep::TooLate => {
-                count(Count::AttemptsTooLate);
+                count(Count::WritesTooLate);
                 false
             }
         }
