Review, case 7: requests of clients that left begin after an appliance's pause

An appliance that stands still for 0.5 s gets the rest of a request up to 0.4 s after the client left.

--- a/review/standins-2/bed2.py
+++ b/review/standins-2/bed2.py
@@ -143,6 +143,8 @@
     def connection_made(self, transport):
         self.transport = transport
         self.appliance.connections.add(self)
+        if self.appliance.is_paused:
+            transport.pause_reading()
         self.appliance.on_connection(self)
 
     def connection_lost(self, error):
@@ -200,14 +202,18 @@
         self.bed, self.number, self.build = bed, number, build
         self.name = f"s-{number:08x}"
         self.connections, self.is_paused, self.mean_ms = set(), False, 20.0
-        self.state, self.started_ms, self.link = "ready", 0, None
+        self.state, self.started_ms, self.link, self.receive_buffer = "ready", 0, None, None
         self.behave = self.serve
         self.on_connection = self.on_lost = lambda connection: None
 
     async def start(self):
+        listener = socket.socket()
+        if self.receive_buffer:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+        listener.bind((HOST, 0))
+        self.port = listener.getsockname()[1]
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: ApplianceConnection(self), HOST, 0, backlog=512)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.server = await loop.create_server(lambda: ApplianceConnection(self), sock=listener, backlog=512)
 
     def on_request(self, request):
         self.bed.on_attempt(self, request)
@@ -225,9 +231,13 @@
         request.connection.reply(request, answer(self.value_for(request)))
 
     def pause(self, is_paused):
+        """Stands still: takes no bytes from its machine, and sends none."""
         self.is_paused = is_paused
-        if not is_paused:
-            for connection in list(self.connections):
+        for connection in list(self.connections):
+            if is_paused:
+                connection.transport.pause_reading()
+            else:
+                connection.transport.resume_reading()
                 connection.read()
                 connection.flush()
 
