--- a/review/standins-2/bed2.py
+++ b/review/standins-2/bed2.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import warnings
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "127.0.0.1"
@@ -106,6 +107,15 @@
     return ("*", items), at
 
 
+def waiting_bytes(transport):
+    """The bytes that this machine has received on a connection and its program has not read yet."""
+    with socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as copy:
+        try:
+            return copy.recv(1 << 20, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except OSError:
+            return b""
+
+
 class Record:
     """What was sent, answered and run; written to record.txt at the end."""
 
@@ -138,7 +148,7 @@
 class ApplianceConnection(asyncio.Protocol):
     def __init__(self, appliance):
         self.appliance, self.buffer, self.replies, self.is_open = appliance, bytearray(), [], True
-        self.idle_since = now()
+        self.whole_since = None
 
     def connection_made(self, transport):
         self.transport = transport
@@ -171,6 +181,8 @@
         verb = parts[0].upper()
         if verb in (b"SVC.QUERY", b"SVC.SUBMIT"):
             request = Request(parts, self)
+            if self.whole_since is not None:
+                request.at, self.whole_since = self.whole_since, None
             request.slot = [None]
             self.replies.append(request.slot)
             self.appliance.on_request(request)
@@ -231,12 +243,16 @@
         request.connection.reply(request, answer(self.value_for(request)))
 
     def pause(self, is_paused):
-        """Stands still: takes no bytes from its machine, and sends none."""
+        """Stands still: takes no bytes from its machine, and sends none. A request that had come to the machine whole
+        while it stood still counts as begun when that began."""
         self.is_paused = is_paused
         for connection in list(self.connections):
             if is_paused:
+                self.paused_since = now()
                 connection.transport.pause_reading()
             else:
+                if parse(connection.buffer + waiting_bytes(connection.transport)):
+                    connection.whole_since = self.paused_since
                 connection.transport.resume_reading()
                 connection.read()
                 connection.flush()
@@ -250,7 +266,8 @@
     """The network between the agent and one appliance: passes bytes on both ways while it is not cut.
 
     While it is cut it takes no bytes from either side: they stay with their sender, whose machine sends them again once
-    the cut is over. Connections that are made during the cut are reset at its end.
+    the cut is over. Connections that are made during the cut are reset at its end, and so is one on which the link itself
+    holds the rest of a request.
     """
 
     RECEIVE_BUFFER = 16384
@@ -281,7 +298,7 @@
 
     def __init__(self, link, other=None):
         self.link, self.other, self.waiting, self.transport = link, other, [], None
-        self.is_late = link.is_cut
+        self.is_late, self.is_at_agent, self.partial = link.is_cut, other is None, bytearray()
 
     def connection_made(self, transport):
         self.transport = transport
@@ -303,6 +320,10 @@
             other.transport.write(data)
 
     def data_received(self, data):
+        if self.is_at_agent:
+            self.partial += data
+            while found := parse(self.partial):
+                del self.partial[:found[1]]
         if self.other and self.other.transport:
             self.other.transport.write(data)
         else:
@@ -317,7 +338,8 @@
             (self.other.transport.abort if error else self.other.transport.close)()
 
     def hold(self, is_held):
-        if self.is_late:
+        is_whole = not is_held and self.is_at_agent and parse(self.partial + waiting_bytes(self.transport))
+        if self.is_late or is_whole:
             self.transport.abort()
         elif is_held:
             self.transport.pause_reading()
@@ -586,6 +608,7 @@
 
     # Streams that are still open at the end are closed after their loop, which Python reports as an unraisable error.
     sys.unraisablehook = lambda report: None
+    warnings.simplefilter("ignore")
     code, lines = NOT_RUN, []
     try:
         breaks, lines = asyncio.run(run())
