--- a/review/standins-2/bed2.py
+++ b/review/standins-2/bed2.py
@@ -452,8 +452,7 @@
         self.bed, self.memory_mb, self.sockets = bed, memory_mb, sockets
         self.settings = settings(**changes)
         self.port, self.peer_port = free_port(), free_port()
-        self.process = None
-        self.known = None
+        self.process = self.known = self.operator = None
 
     def config(self):
         peer = f"{HOST}:{self.peer_port}"
@@ -473,6 +472,13 @@
         os.replace(path + ".new", path)
         return path
 
+    def write_operator_file(self):
+        """Replaces the operator's file by the text `operator`."""
+        path = os.path.join(self.bed.folder, "operator.xml")
+        with open(path + ".new", "w", encoding="utf-8") as out:
+            out.write(self.operator)
+        os.replace(path + ".new", path)
+
     async def start(self):
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as deploy:
             run = tomllib.load(deploy)["run"]
@@ -482,6 +488,9 @@
         environment = {"RELAY_CONFIG": path, "RELAY_NAME": "n0", "RELAY_LISTEN": f"{HOST}:{self.port}",
                        "RELAY_DISCOVERY": f"{HOST}:{self.bed.discovery.port}", "TMPDIR": temporary,
                        "PATH": os.environ.get("PATH", "")}
+        if self.operator:
+            self.write_operator_file()
+            environment["LILACGATE_OPERATOR"] = os.path.join(self.bed.folder, "operator.xml")
         self.log = open(os.path.join(self.bed.folder, "agent.log"), "ab")
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                         stdout=self.log, stderr=self.log)
@@ -587,7 +596,7 @@
 
 def request_of(bed, name, id, deadline_ms, key=None, body=b"", extra=""):
     pairs = f"c={name},d={deadline_ms}" + (f",k={key}" if key else "") + extra
-    verb = "SVC.QUERY" if name == "read" else "SVC.SUBMIT"
+    verb = "SVC.QUERY" if name in ("read", "lot-page", "price-check") else "SVC.SUBMIT"
     parts = [verb, f"{random.getrandbits(64):016x}", id, pairs] + ([body] if body else [])
     return command(*parts)
 
