--- a/review/standins-2/bed2.py
+++ b/review/standins-2/bed2.py
@@ -480,6 +480,14 @@
         os.replace(path + ".new", path)
 
     async def start(self):
+        """Starts the agent and waits until it answers PING; tries other ports if one of its own was taken meanwhile."""
+        for _ in range(3):
+            if await self.start_once():
+                return
+            self.port, self.peer_port = free_port(), free_port()
+        raise CannotRun(f"the agent ended with {self.process.returncode}")
+
+    async def start_once(self):
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as deploy:
             run = tomllib.load(deploy)["run"]
         path = self.write_config()
@@ -497,14 +505,14 @@
         deadline = now() + 10
         while now() < deadline:
             if self.process.poll() is not None:
-                raise CannotRun(f"the agent ended with {self.process.returncode}")
+                return False
             try:
                 reader, writer = await asyncio.open_connection(HOST, self.port)
                 writer.write(command("PING"))
                 line = await asyncio.wait_for(reader.readline(), 1)
                 writer.close()
                 if line == b"+PONG\r\n":
-                    return
+                    return True
             except (OSError, asyncio.TimeoutError):
                 pass
             await asyncio.sleep(0.05)
@@ -603,6 +611,8 @@
 
 def play(case, folder, seconds=115, prepare=None, **bed_options):
     """Runs `case(bed)`, which returns (number of breaks, summary lines); ends the process with the case's exit code."""
+    # Whoever ends the script early still has its processes ended.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     bed = Bed(folder, **bed_options)
     if prepare:
         prepare(bed)
