Attempts that were given up are discarded, not delivered when a cut network comes back

Cause: an attempt that was given up closed its connection as usual. A usual close goes on delivering what the kernel has taken, for as long as its retransmissions last; 'the socket took the last byte' was held for 'the endpoint got it'.

Change: a connection to an endpoint closes abortively from its opening on (SO_LINGER, 0 s), so that the kernel discards what is not acknowledged; only one without an exchange under way closes as usual. That holds for each end of an attempt (given up, timed out, shutdown, malformed reply) and for the end of the process by any signal. A vote that was given up is discarded, too, so that it cannot come behind a later one.

The agent's own tests pass.

--- a/crates/agent/src/platform.rs
+++ b/crates/agent/src/platform.rs
@@ -21,7 +21,7 @@
     MAX_LINE_BYTES, MessageLimit, ReleaseUpdate, ReleaseWatch, ReleaseWatchListener,
     WatchedControlPlane, encode_request,
 };
-use crate::transport::{InputReader, TcpSocket, connect, with_timeout};
+use crate::transport::{InputReader, TcpSocket, close_abortively, connect, with_timeout};
 
 /// The id of the `listen` request on the connection of the watch. Votes are numbered from the next id.
 const LISTEN_REQUEST_ID: u64 = 1;
@@ -186,6 +186,8 @@
 
     async fn open_connection(&self, address: SocketAddr) -> Result<VoteConnection, ConnectionEnd> {
         let stream = connect(address, self.connect_timeout).await?;
+        // A vote that was given up must not arrive behind a later one.
+        close_abortively(&stream);
         let parser = JsonParser::lines(MAX_LINE_BYTES);
         Ok(VoteConnection {
             address,
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -12,7 +12,9 @@
 use super::request_write::RequestWrite;
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, Resp};
-use crate::transport::{ByteLimit, InputReader, RingBuffer, TcpSocket};
+use crate::transport::{
+    ByteLimit, InputReader, RingBuffer, TcpSocket, close_abortively, close_gracefully,
+};
 
 /// A command that endpoints answer at once, after the requests before it, and that has no effect.
 const FENCE_COMMAND: [&[u8]; 2] = [b"SELECT", b"0"];
@@ -44,6 +46,9 @@
 }
 
 /// A connection to an endpoint's process. Dropping it closes the connection and logs the reason.
+///
+/// During an exchange it closes abortively: what the kernel has not delivered of a command is discarded, so that an
+/// attempt that was given up cannot run when the endpoint takes bytes again. That holds for the end of the process, too.
 #[derive(Debug)]
 pub(super) struct Connection {
     stream: TcpSocket,
@@ -59,6 +64,8 @@
     has_carried_health_check: bool,
     /// Whether surplus answers have come, so that the connection carries no further exchange.
     pub(super) has_surplus_answers: bool,
+    /// Whether an exchange has begun whose reply has not been read: the socket may hold a part of its command.
+    is_in_exchange: bool,
     /// The reason that is logged when the connection is dropped.
     pub(super) close_reason: ConnectionEnd,
     _open: OpenConnectionGuard,
@@ -66,6 +73,9 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if !self.is_in_exchange {
+            close_gracefully(&self.stream);
+        }
         count(Count::ConnectionsClosed);
         info!(
             "connection_closed peer=endpoint address={} reason={}",
@@ -85,6 +95,7 @@
         open: OpenConnectionGuard,
     ) -> Self {
         count(Count::ConnectionsOpened);
+        close_abortively(&stream);
         let parser = resp::ValueParser::with_whole_allocations();
         Connection {
             stream,
@@ -97,6 +108,7 @@
             has_carried_request: false,
             has_carried_health_check: false,
             has_surplus_answers: false,
+            is_in_exchange: false,
             close_reason: ConnectionEnd::Cancelled,
             _open: open,
         }
@@ -126,6 +138,7 @@
         command: Vec<u8>,
         write: &RequestWrite<'_>,
     ) -> Result<WriteStep, Outcome> {
+        self.is_in_exchange = true;
         self.output.append(&command);
         // The wait for the reply is long; the command is not needed any more.
         drop(command);
@@ -134,7 +147,10 @@
             Ok(true) => Ok(WriteStep::Write),
             Ok(false) => {
                 self.output.clear();
-                write.step_before().ok_or_else(|| {
+                let step = write.step_before();
+                // Nothing has been written if another step comes before.
+                self.is_in_exchange = step.is_none();
+                step.ok_or_else(|| {
                     self.close_reason = ConnectionEnd::TimedOut;
                     Outcome::NotSent
                 })
@@ -161,6 +177,7 @@
             reply = self.own_reply(reply).await?;
         }
         self.has_carried_request = true;
+        self.is_in_exchange = false;
         self.recent_answers.record(&reply);
         Ok(reply)
     }
@@ -174,6 +191,7 @@
         &mut self,
         command: Vec<u8>,
     ) -> Result<Resp, Outcome> {
+        self.is_in_exchange = true;
         if let Err(end) = self.write(command).await {
             self.close_reason = end;
             return Err(Outcome::ConnectFailed);
@@ -184,6 +202,7 @@
             reply = self.skip_surplus(reply, is_answer).await?;
         }
         self.has_carried_health_check = true;
+        self.is_in_exchange = false;
         Ok(reply)
     }
 
@@ -260,6 +279,8 @@
 
     /// Marks the connection as malformed because its reply was valid RESP2, but not a valid reply to the command.
     pub(super) fn reject_reply(&mut self) -> Outcome {
+        // It need not be the reply to the command, of which the socket may still hold a part.
+        self.is_in_exchange = true;
         self.close_reason = ConnectionEnd::Malformed;
         Outcome::Malformed
     }
--- a/crates/agent/tests/upstream.rs
+++ b/crates/agent/tests/upstream.rs
@@ -1,5 +1,7 @@
 //! Tests the upstream pool against a scripted listener: how attempts and health checks end.
 mod support;
+#[path = "support/upstream.rs"]
+mod upstream_support;
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -8,133 +10,23 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use lilacgate_decision::{
-    AttemptNumber, Build, Endpoint, EndpointId, EndpointStatus, EventHandler, ListUpdate, Outcome,
-    ReleasePhase, Request, RequestClass, RequestId, Stage,
-};
-use lilacgate_start_settings::Settings;
-use rstest::rstest;
-
 use lilacgate_agent::event_loop::EventLoop;
-use lilacgate_agent::outbound::{AttemptId, EncodedRequest, OutgoingAttempt, Upstream};
-use lilacgate_agent::release_gate::{EventRouter, ReleaseGateHost};
-use lilacgate_agent::transport::ByteLimit;
+use lilacgate_agent::outbound::{AttemptId, OutgoingAttempt, Upstream};
 use lilacgate_agent::upstream::UpstreamPool;
+use lilacgate_decision::{AttemptNumber, EndpointId, Outcome, RequestId};
+use rstest::rstest;
 
-use crate::support::empty_recorder;
-
-const SETTINGS: &str = "feedback.names=lat_ms,util\nlimits.connect-timeout=9000000\nlimits.conn-idle=30000000\ntick=1\n\
-    rules.answer-slack=1\nprofiles.count=1\nprofiles.0.give-up=9000000";
-const ENDPOINT: EndpointId = EndpointId(1);
-const ATTEMPT: AttemptId = AttemptId {
-    request: RequestId(0),
-    number: AttemptNumber(0),
+use crate::upstream_support::{
+    ENDPOINT, REQUEST, RecordingHandler, TIMEOUT, hello, pool_with_endpoint,
 };
-const REQUEST: &[u8; 5] = b"hello";
+
 const SUCCESS: &[u8] = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n";
 const OTHER_SUCCESS: &[u8] = b"*3\r\n$5\r\nother\r\n$-1\r\n$-1\r\n";
 const INFO: &[u8] = b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n";
 const REPORT: &[u8] = b"$10\r\nlat_ms=3.5\r\n";
-const MAX_REPLY_BYTES: usize = 1 << 20;
-const TIMEOUT: Duration = Duration::from_secs(9);
 /// Longer than a connection rests between two exchanges.
 const REST: Duration = Duration::from_millis(300);
 
-/// Records how attempts and health checks end, and answers whether an attempt may still be sent.
-#[derive(Default)]
-struct RecordingHandler {
-    may_send: bool,
-    outcome: Option<Outcome>,
-    /// How all attempts ended.
-    outcomes: Vec<Outcome>,
-    loads: Vec<(EndpointId, Vec<f32>)>,
-}
-
-impl EventHandler for RecordingHandler {
-    fn on_request(&mut self, _: RequestId, _: Request) {}
-    fn on_attempt_ended(
-        &mut self,
-        _: RequestId,
-        _: AttemptNumber,
-        _: EndpointId,
-        outcome: Outcome,
-        _: Duration,
-        _: bool,
-    ) {
-        self.outcome = Some(outcome);
-        self.outcomes.push(outcome);
-    }
-    fn on_response_started(&mut self, _: RequestId, _: AttemptNumber, _: EndpointId, _: Duration) {}
-    fn on_client_disconnected(&mut self, _: RequestId) {}
-    fn may_send(&mut self, _: RequestId, _: AttemptNumber) -> bool {
-        self.may_send
-    }
-    fn on_endpoints(&mut self, _: ListUpdate, _: &mut dyn Iterator<Item = Endpoint>) {}
-    fn on_load_report(&mut self, endpoint: EndpointId, loads: &[f32]) {
-        self.loads.push((endpoint, loads.to_vec()));
-    }
-    fn on_health_check(&mut self, _: EndpointId, outcome: Outcome, _: Duration) {
-        self.outcome = Some(outcome);
-    }
-    fn on_release_status(&mut self, _: Build, _: Stage, _: ReleasePhase, _: f64, _: Duration) {}
-    fn on_vote_answered(&mut self, _: Outcome) {}
-    fn on_wrong_answer(&mut self, _: EndpointId, _: RequestClass, _: Duration) {}
-}
-
-impl RecordingHandler {
-    /// Runs the event loop until the first outcome, and returns it.
-    fn wait_for_outcome(&mut self, event_loop: &EventLoop) -> Option<Outcome> {
-        async_io::block_on(event_loop.run(async {
-            while self.outcome.is_none() {
-                event_loop.handle_queued_events(&mut EventRouter {
-                    engine: self,
-                    gate_host: &mut ReleaseGateHost::default(),
-                    recorder: &empty_recorder(),
-                    now: Duration::ZERO,
-                });
-                futures_lite::future::yield_now().await;
-            }
-        }));
-        self.outcome
-    }
-}
-
-/// Creates a pool of at most `max_connections` connections with one endpoint, and that endpoint's listener.
-fn pool_with_endpoint(max_connections: usize) -> (Rc<EventLoop>, Rc<UpstreamPool>, TcpListener) {
-    let event_loop = EventLoop::new(Duration::ZERO);
-    let settings = Settings::from_lines(SETTINGS);
-    let reply_bytes = ByteLimit::new(MAX_REPLY_BYTES);
-    let pool = UpstreamPool::new(event_loop.clone(), &settings, max_connections, reply_bytes)
-        .expect("a pool");
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let (machine_model, build, cell, zone) = Default::default();
-    let entry = Endpoint {
-        id: ENDPOINT,
-        status: EndpointStatus::Ready,
-        machine_model,
-        weight: 1.0,
-        started: None,
-        build,
-        cell,
-        zone,
-    };
-    pool.update_endpoint(&entry, listener.local_addr().expect("its address"));
-    (event_loop, pool, listener)
-}
-
-/// An attempt that is decided on at `now`, and whose encoded request is [`REQUEST`].
-fn hello(now: Duration) -> OutgoingAttempt {
-    let encoded_request: EncodedRequest = Rc::new(|_| REQUEST.to_vec());
-    OutgoingAttempt {
-        id: ATTEMPT,
-        endpoint: ENDPOINT,
-        encoded_request,
-        started: now,
-        deadline: now + TIMEOUT,
-        send_by: None,
-    }
-}
-
 /// Sends an attempt whose encoded request is [`REQUEST`].
 fn send_hello(event_loop: &EventLoop, pool: Rc<UpstreamPool>, endpoint: EndpointId) {
     let attempt = hello(event_loop.clock.now());
@@ -205,10 +97,7 @@
                 .expect("the answer is written");
         });
         send_hello(&event_loop, pool, ENDPOINT);
-        let mut handler = RecordingHandler {
-            may_send: true,
-            ..RecordingHandler::default()
-        };
+        let mut handler = RecordingHandler::confirming();
         let expected = if cut == answer.len() {
             complete
         } else {
@@ -273,10 +162,7 @@
         connection.read_to_end(&mut Vec::new()).ok();
     });
     send_hello(&event_loop, pool, ENDPOINT);
-    let mut handler = RecordingHandler {
-        may_send: true,
-        ..RecordingHandler::default()
-    };
+    let mut handler = RecordingHandler::confirming();
     let outcome = handler.wait_for_outcome(&event_loop);
     assert_eq!(outcome, Some(Outcome::Malformed));
 }
@@ -310,10 +196,7 @@
         } else {
             send_hello(&event_loop, pool.clone(), ENDPOINT);
         }
-        let mut handler = RecordingHandler {
-            may_send: true,
-            ..RecordingHandler::default()
-        };
+        let mut handler = RecordingHandler::confirming();
         let outcome = handler.wait_for_outcome(&event_loop);
         assert_eq!(outcome, Some(Outcome::Succeeded));
         std::thread::sleep(REST);
@@ -365,10 +248,7 @@
     let mut outcomes = Vec::new();
     for _ in 0..EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS + 2 {
         send_hello(&event_loop, pool.clone(), ENDPOINT);
-        let mut handler = RecordingHandler {
-            may_send: true,
-            ..RecordingHandler::default()
-        };
+        let mut handler = RecordingHandler::confirming();
         outcomes.extend(handler.wait_for_outcome(&event_loop));
         std::thread::sleep(PAUSE);
     }
@@ -406,10 +286,7 @@
 ) {
     let (event_loop, pool, listener) = pool_with_endpoint(9);
     let received = std::thread::spawn(move || read_behind_first_request(&listener));
-    let mut handler = RecordingHandler {
-        may_send: true,
-        ..RecordingHandler::default()
-    };
+    let mut handler = RecordingHandler::confirming();
     send_hello(&event_loop, pool.clone(), ENDPOINT);
     let outcome = handler.wait_for_outcome(&event_loop);
     assert_eq!(outcome, Some(Outcome::Succeeded));
@@ -455,10 +332,7 @@
         deadline: now + Duration::from_secs(2),
         ..hello(now)
     });
-    let mut handler = RecordingHandler {
-        may_send: true,
-        ..RecordingHandler::default()
-    };
+    let mut handler = RecordingHandler::confirming();
     let outcome = handler.wait_for_outcome(&event_loop);
     assert_eq!(outcome, Some(Outcome::NotSent));
     drop((event_loop, pool));
@@ -490,10 +364,7 @@
             ..hello(now)
         });
     }
-    let mut handler = RecordingHandler {
-        may_send: true,
-        ..RecordingHandler::default()
-    };
+    let mut handler = RecordingHandler::confirming();
     while handler.outcomes.len() < REPEATS as usize {
         handler.outcome = None;
         handler.wait_for_outcome(&event_loop);
