What the endpoint has not got is given up when its client left or its window ends

Cause: an attempt counted as sent once the socket had taken its last byte, and nobody looked at it again. The kernel kept the rest of it, and delivered it when the endpoint went on.

Change: policy/delivery.rs decides about attempts that are written but not delivered, by what the kernel says of the connection's send queue: they are ended abortively when the request needs no answer any more, before the window of a repeat ends, and when the time they tell is 0.1 s old. Nothing is written once the request is over.

--- a/crates/agent/src/clock.rs
+++ b/crates/agent/src/clock.rs
@@ -4,7 +4,7 @@
 use async_io::Timer;
 
 /// The longest time for which a timer is set at once. Times from outside may be later than a timer can express.
-const LONGEST_SLEEP: Duration = Duration::from_hours(24);
+const LONGEST_SLEEP: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// A monotonic clock whose zero point is the Unix epoch, so that events from before the agent's start have a time too.
 ///
--- a/crates/agent/src/dispatcher.rs
+++ b/crates/agent/src/dispatcher.rs
@@ -128,6 +128,7 @@
                 started: self.now,
                 deadline: attempt.deadline,
                 send_by,
+                request_over: attempt.request_over,
             });
     }
 
--- a/crates/agent/src/log/counters.rs
+++ b/crates/agent/src/log/counters.rs
@@ -64,6 +64,8 @@
     WritesTooLate "writes_too_late"
     /// Repeats of keyed requests whose write ended after their deduplication window, although it was decided on before.
     RepeatsWrittenLate "repeats_written_late"
+    /// Attempts that were written, but given up because their endpoint had not got them in time.
+    AttemptsUndelivered "attempts_undelivered"
     /// Connections to endpoints that were opened.
     ConnectionsOpened "connections_opened"
     /// Connections to endpoints that have ended.
--- a/crates/agent/src/outbound.rs
+++ b/crates/agent/src/outbound.rs
@@ -7,6 +7,8 @@
 
 use lilacgate_decision::{AgentId, AttemptNumber, Build, EndpointId, RequestId, Stage, Vote};
 
+use crate::transport::Notifier;
+
 /// Encodes the command of a request for the time that remains for its answer.
 pub type EncodedRequest = Rc<dyn Fn(Duration) -> Vec<u8>>;
 
@@ -34,6 +36,8 @@
     /// The end of the request's deduplication window, if the attempt is a repeat of one that may have run: it must not be
     /// written from then on.
     pub send_by: Option<Duration>,
+    /// Notified when the request needs no answer any more: it has one, or its client has left.
+    pub request_over: Rc<Notifier>,
 }
 
 impl fmt::Debug for OutgoingAttempt {
--- a/crates/agent/src/transport/mod.rs
+++ b/crates/agent/src/transport/mod.rs
@@ -16,6 +16,7 @@
 mod input_reader;
 mod notifier;
 mod ring_buffer;
+mod send_queue;
 mod service_address;
 mod system_call;
 
@@ -27,6 +28,7 @@
 pub use input_reader::{InputReader, Parse, items};
 pub use notifier::{Notifier, WakeSignal};
 pub use ring_buffer::RingBuffer;
+pub(crate) use send_queue::{SendQueue, SendQueueReader, SocketAddresses};
 pub use service_address::ServiceAddress;
 pub use system_call::{
     has_no_input, is_per_connection_error, is_resource_shortage, peek, retry_at_startup,
--- a/crates/agent/src/unanswered.rs
+++ b/crates/agent/src/unanswered.rs
@@ -5,12 +5,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
+use std::rc::Rc;
 use std::time::Duration;
 
 use lilacgate_decision::{AttemptNumber, RequestId};
 
 use crate::log::{Count, count};
 use crate::outbound::{AttemptId, EncodedRequest};
+use crate::transport::Notifier;
 
 /// The final answer to a request.
 #[derive(Debug)]
@@ -35,6 +37,8 @@
     attempts: u8,
     /// Taken when the final answer is given, or when the client has left.
     callback: Option<AnswerCallback>,
+    /// Tells its attempts when the callback is taken.
+    over: Rc<Notifier>,
 }
 
 /// An attempt that has been numbered and may be sent.
@@ -43,6 +47,8 @@
     pub(crate) encoded_request: EncodedRequest,
     /// When the attempt times out.
     pub(crate) deadline: Duration,
+    /// Notified when the request needs no answer any more.
+    pub(crate) request_over: Rc<Notifier>,
 }
 
 /// The requests that have no final answer yet.
@@ -76,6 +82,7 @@
             deadline,
             attempts: 0,
             callback: Some(callback),
+            over: Rc::default(),
         };
         self.requests.borrow_mut().insert(id, request);
         id
@@ -109,7 +116,10 @@
 
     /// Takes the callback of a request that still needs its final answer. Afterwards it needs none.
     pub(crate) fn take_callback(&self, id: RequestId) -> Option<AnswerCallback> {
-        self.requests.borrow_mut().get_mut(&id)?.callback.take()
+        let mut requests = self.requests.borrow_mut();
+        let request = requests.get_mut(&id)?;
+        request.over.notify();
+        request.callback.take()
     }
 
     /// Gives the final answer, if the request still needs one.
@@ -162,6 +172,7 @@
             },
             encoded_request: request.encoded_request.clone(),
             deadline,
+            request_over: request.over.clone(),
         })
     }
 }
--- a/crates/agent/src/upstream/attempt.rs
+++ b/crates/agent/src/upstream/attempt.rs
@@ -10,6 +10,7 @@
 
 use super::UpstreamPool;
 use super::connection::Connection;
+use super::delivery::WrittenRequest;
 use super::reply::{Reply, parse_reply};
 use super::request_write::RequestWrite;
 use crate::event_loop::AttemptResult;
@@ -19,6 +20,14 @@
 /// A pause in which the event loop polls for events.
 const EVENT_POLL_PAUSE: Duration = Duration::from_millis(1);
 
+/// The result of a try to write a request.
+enum WriteResult {
+    /// The socket has taken its last byte.
+    Written(WrittenRequest),
+    /// Nothing has been written; this has to be done before.
+    NotYet(WriteStep),
+}
+
 /// An attempt that is under way.
 pub(super) struct Attempt {
     outgoing: OutgoingAttempt,
@@ -84,11 +93,11 @@
     async fn exchange(&self, pool: &UpstreamPool) -> Result<Reply, Outcome> {
         let endpoint = self.outgoing.endpoint;
         let mut connection = self.connection(pool).await?;
-        loop {
-            let step = self.write(pool, &mut connection).await?;
-            if step == WriteStep::Write {
-                break;
-            }
+        let delivery = loop {
+            let step = match self.write(pool, &mut connection).await? {
+                WriteResult::Written(delivery) => break delivery,
+                WriteResult::NotYet(step) => step,
+            };
             if !self.may_write_after(step, pool).await {
                 pool.put_back(endpoint, connection);
                 return Err(Outcome::NotSent);
@@ -97,19 +106,29 @@
                 drop(connection);
                 connection = self.connection(pool).await?;
             }
-        }
-        let reply = connection.read_request_reply().await?;
+        };
+        let give_up = async { Err(delivery.give_up(pool).await) };
+        let reply = connection.read_request_reply().or(give_up).await?;
         let reply = parse_reply(reply).ok_or_else(|| connection.reject_reply())?;
-        pool.put_back(endpoint, connection);
+        if delivery.is_incomplete(pool) {
+            connection.discard_undelivered();
+        } else {
+            pool.put_back(endpoint, connection);
+        }
         Ok(reply)
     }
 
-    /// Writes the request if it may be written now; otherwise returns what is to be done before.
+    /// Writes the request if it may be written now; otherwise returns what is to be done before. No further byte is written
+    /// once the request needs no answer any more.
     async fn write(
         &self,
         pool: &UpstreamPool,
         connection: &mut Connection,
-    ) -> Result<WriteStep, Outcome> {
+    ) -> Result<WriteResult, Outcome> {
+        let request_over = &self.outgoing.request_over;
+        if request_over.is_notified() {
+            return Ok(WriteResult::NotYet(WriteStep::TooLate));
+        }
         let last_answer_time = pool.event_loop.last_answer_time();
         let limits = WriteLimits {
             decided_at: self.decided_at.get(),
@@ -119,12 +138,28 @@
         let reserved = self.reserved.get();
         let write = RequestWrite::new(pool.clock(), &pool.write_timing, limits, reserved);
         let command = (self.outgoing.encoded_request)(write.time_left());
-        let step = connection.write_request(command, &write).await?;
-        if step == WriteStep::Write {
-            self.fully_written.set(true);
-            self.count_late_write(pool);
+        let command_bytes = command.len();
+        let abandoned = async {
+            request_over.notified().await;
+            Err(Outcome::NotSent)
+        };
+        let step = connection
+            .write_request(command, &write)
+            .or(abandoned)
+            .await?;
+        if step != WriteStep::Write {
+            return Ok(WriteResult::NotYet(step));
         }
-        Ok(step)
+        self.fully_written.set(true);
+        self.count_late_write(pool);
+        Ok(WriteResult::Written(WrittenRequest {
+            addresses: connection.addresses(),
+            command_bytes,
+            encoded_at: write.encoded_at(),
+            written_at: pool.clock().now(),
+            send_by: self.outgoing.send_by,
+            request_over: request_over.clone(),
+        }))
     }
 
     /// Counts a write that a hold-up made late after it had been decided on.
--- a/crates/agent/src/upstream/connection.rs
+++ b/crates/agent/src/upstream/connection.rs
@@ -13,7 +13,8 @@
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, Resp};
 use crate::transport::{
-    ByteLimit, InputReader, RingBuffer, TcpSocket, close_abortively, close_gracefully,
+    ByteLimit, InputReader, RingBuffer, SocketAddresses, TcpSocket, close_abortively,
+    close_gracefully,
 };
 
 /// A command that endpoints answer at once, after the requests before it, and that has no effect.
@@ -126,6 +127,16 @@
         false
     }
 
+    /// Returns the addresses by which the kernel identifies this connection; `None` if it is not connected any more.
+    pub(super) fn addresses(&self) -> Option<SocketAddresses> {
+        SocketAddresses::of(&self.stream).ok()
+    }
+
+    /// Makes the connection close abortively, because the socket may still hold a part of a command that has been answered.
+    pub(super) fn discard_undelivered(&mut self) {
+        self.is_in_exchange = true;
+    }
+
     /// Writes a request, for as long as `write` allows. Returns [`WriteStep::Write`] once the socket has taken the last byte;
     /// before that, the endpoint cannot have run the request. Any other step is to be taken before it may be written; then
     /// nothing has been written, and the connection can still be used.
@@ -280,7 +291,7 @@
     /// Marks the connection as malformed because its reply was valid RESP2, but not a valid reply to the command.
     pub(super) fn reject_reply(&mut self) -> Outcome {
         // It need not be the reply to the command, of which the socket may still hold a part.
-        self.is_in_exchange = true;
+        self.discard_undelivered();
         self.close_reason = ConnectionEnd::Malformed;
         Outcome::Malformed
     }
--- a/crates/agent/src/upstream/mod.rs
+++ b/crates/agent/src/upstream/mod.rs
@@ -5,8 +5,9 @@
 //!
 //! - An attempt is written to one connection, once.
 //! - An attempt ends as [`Outcome::NotSent`](lilacgate_decision::Outcome::NotSent) or
-//!   [`ConnectFailed`](lilacgate_decision::Outcome::ConnectFailed) only if its last byte was not handed to the socket,
-//!   so that it cannot have run.
+//!   [`ConnectFailed`](lilacgate_decision::Outcome::ConnectFailed) only if its last byte was not handed to the socket, or
+//!   has not left this machine, so that it cannot have run.
+//! - What an endpoint has not got when its attempt ends is discarded: the connection closes abortively.
 //! - Surplus bytes after an answer are not taken for the answer to the next request: a connection with unexpected bytes is
 //!   closed, a connection is not reused for as long as an answer may be late, and an answer with the value of an earlier
 //!   one on its connection counts only once the reply to a further command shows that no other answer follows.
@@ -15,6 +16,7 @@
 //! The decision engine chooses the endpoint of each request.
 mod attempt;
 mod connection;
+mod delivery;
 mod health_check;
 mod load_report;
 mod pool;
--- a/crates/agent/src/upstream/pool.rs
+++ b/crates/agent/src/upstream/pool.rs
@@ -18,7 +18,7 @@
 use crate::event_loop::EventLoop;
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::outbound::{AttemptId, OutgoingAttempt, Upstream};
-use crate::transport::{ByteLimit, connect};
+use crate::transport::{ByteLimit, SendQueueReader, connect};
 
 /// The longest time for which Linux delays the acknowledgement of a reply, and so the surplus bytes behind it.
 const MAX_ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(200);
@@ -68,6 +68,8 @@
     reply_bytes: ByteLimit,
     max_connections: usize,
     open_connections: Rc<Cell<usize>>,
+    /// Tells how far the bytes of attempts have got.
+    pub(super) send_queues: SendQueueReader,
 }
 
 impl fmt::Debug for UpstreamPool {
@@ -110,6 +112,7 @@
             reply_bytes,
             max_connections,
             open_connections: Rc::default(),
+            send_queues: SendQueueReader::default(),
         }))
     }
 
--- a/crates/agent/src/upstream/request_write.rs
+++ b/crates/agent/src/upstream/request_write.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// When the time left to the client was determined.
+    pub(super) fn encoded_at(&self) -> Duration {
+        self.encoded_at
+    }
+
     /// How much time the client had left when this write began.
     pub(super) fn time_left(&self) -> Duration {
         self.limits.deadline.saturating_sub(self.encoded_at)
--- a/crates/agent/tests/support/upstream.rs
+++ b/crates/agent/tests/support/upstream.rs
@@ -132,5 +132,6 @@
         started: now,
         deadline: now + TIMEOUT,
         send_by: None,
+        request_over: Rc::default(),
     }
 }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -28,6 +28,7 @@
     ReleaseAnalysisSettings, ReleasePhase, Request, RequestClass, RequestId, RequestSettings,
     SlowStartSettings, Stage, Tenant, TimerId, Vote, VoteTiming, Zone,
 };
+pub use policy::delivery::{DeliveryLimits, DeliveryProgress, DeliveryStep};
 pub use policy::sequential_test::{SequentialTest, SequentialTestSettings};
 pub use policy::write_timing::{WriteLimits, WriteStep, WriteTiming};
 pub use release_permissions::ReleasePermissions;
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! All decisions, one concern in each module. A constant is in the module of the policy that uses it.
 pub(crate) mod admission;
+pub(crate) mod delivery;
 pub(crate) mod exposure;
 pub(crate) mod idle_connections;
 pub(crate) mod list_polling;
--- a/crates/decision/src/policy/write_timing.rs
+++ b/crates/decision/src/policy/write_timing.rs
@@ -11,7 +11,7 @@
 /// How much later than the end of its deduplication window a repeat is still dropped by endpoints.
 const WINDOW_SLACK: Duration = Duration::from_millis(50);
 /// How long before the end of a deduplication window a hold-up could make a write too late.
-const LATE_WRITE_MARGIN: Duration = MAX_HOLD_UP.saturating_sub(WINDOW_SLACK);
+pub(super) const LATE_WRITE_MARGIN: Duration = MAX_HOLD_UP.saturating_sub(WINDOW_SLACK);
 /// The shortest time between two writes within [`LATE_WRITE_MARGIN`], over all attempts. It bounds how likely a hold-up
 /// begins between the decision and the system call of one of them.
 const LATE_WRITE_INTERVAL: Duration = Duration::from_micros(250);
@@ -19,7 +19,7 @@
 const MAX_DECISION_AGE: Duration = Duration::from_millis(25);
 /// The longest time from the encoding of an attempt to its last byte. The time left to the client is told with the first
 /// bytes, and endpoints that take the last ones later would be told too much.
-const MAX_WRITE_TIME: Duration = Duration::from_millis(100);
+pub(super) const MAX_WRITE_TIME: Duration = Duration::from_millis(100);
 
 /// When an attempt may be written. All instants are those of the host's clock.
 #[derive(Clone, Copy, Debug)]
--- a/crates/releases/tests/calendar.rs
+++ b/crates/releases/tests/calendar.rs
@@ -8,6 +8,8 @@
 };
 use rstest::rstest;
 
+/// By how much time zones and the end of the calendar may shift an instant.
+const TWO_DAYS: Duration = Duration::from_secs(2 * 24 * 60 * 60);
 /// The last timestamp, 9999-12-30T22:00 UTC, in seconds since 1970; that of dates is a day later.
 const LAST_TIMESTAMP: Duration = Duration::from_secs(253_402_207_200);
 
@@ -26,7 +28,7 @@
     let zone = TimeZone::get(zone).expect("a time zone");
     for instant in [earliest_instant(&zone, at), latest_instant(&zone, at)] {
         let difference = instant.abs_diff(expected);
-        assert!(difference <= Duration::from_hours(48), "{instant:?}");
+        assert!(difference <= TWO_DAYS, "{instant:?}");
         // It can be shown, and a clock can express it.
         assert_eq!(
             timestamp(instant).as_duration().as_secs() as u64,
@@ -46,7 +48,7 @@
         to: day(1, 2),
     };
     for now in [
-        LAST_TIMESTAMP - Duration::from_hours(1),
+        LAST_TIMESTAMP - Duration::from_secs(1),
         LAST_TIMESTAMP,
         Duration::MAX,
     ] {
--- a/crates/start-settings/src/settings.rs
+++ b/crates/start-settings/src/settings.rs
@@ -8,7 +8,7 @@
 use crate::error::SettingsError;
 
 /// The longest duration that a setting can have: a century, of which clocks can express any sum and multiple in use.
-pub const LONGEST_DURATION: Duration = Duration::from_hours(100 * 365 * 24);
+pub const LONGEST_DURATION: Duration = Duration::from_secs(100 * 365 * 24 * 60 * 60);
 
 /// Start settings: the text of each value by its path, such as `profiles.0.aim`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
