The id of a request that may have run is not accepted again

Cause: an id was reserved only while its request waited for an answer. When the client left, the reservation ended, but the attempt went on at its endpoint, and the id was taken for a new request.

Ids of requests that may run again are accepted as before.

--- a/crates/agent/src/clients/admission.rs
+++ b/crates/agent/src/clients/admission.rs
@@ -2,11 +2,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lilacgate_decision::{Request, Tenant};
+use lilacgate_decision::{Idempotency, Request, Tenant};
 
 use super::Clients;
 use super::command::{self, Command, CommandError, RequestArguments};
 use super::connection_state::ConnectionState;
+use super::request_ids::{IdReuse, IdStatus};
 use crate::log::{Count, count};
 use crate::resp;
 use crate::unanswered::FinalAnswer;
@@ -51,8 +52,10 @@
         connection: &Rc<ConnectionState>,
     ) -> Result<(), CommandError> {
         let id = &parts[command::ID_INDEX];
-        if self.in_flight_ids.contains(id) {
-            return Err(CommandError::IdInFlight);
+        match self.request_ids.status(id) {
+            IdStatus::New => {}
+            IdStatus::InFlight => return Err(CommandError::IdInFlight),
+            IdStatus::Used => return Err(CommandError::IdUsed),
         }
         let size = held_size(&parts);
         if self.is_full(size) || !self.claim_request_slot(connection) {
@@ -61,14 +64,18 @@
             return Ok(());
         }
         let position = connection.replies.next_position();
-        let in_flight = self.in_flight_ids.insert(id);
+        let in_flight_id = self.request_ids.insert(id, id_reuse(arguments.idempotency));
         let encoded_request = command::encode_request(parts, self.held_bytes.budget.reserve(size));
         let (to, sends_retry_after) = (connection.clone(), self.sends_retry_after);
         let request = self.event_loop.accept_request(
             self.request(arrived, arguments),
             encoded_request,
             move |answer| {
-                drop(in_flight);
+                if matches!(answer, FinalAnswer::Rejected(_)) {
+                    in_flight_id.release();
+                } else {
+                    drop(in_flight_id);
+                }
                 to.replies
                     .fill(position, encode_answer(answer, sends_retry_after));
             },
@@ -126,6 +133,14 @@
     }
 }
 
+/// Whether the id of a request of such a class may be used again once it may have run.
+fn id_reuse(idempotency: Idempotency) -> IdReuse {
+    match idempotency {
+        Idempotency::Idempotent => IdReuse::Allowed,
+        Idempotency::Keyed(_) | Idempotency::NonIdempotent => IdReuse::Forbidden,
+    }
+}
+
 /// Returns how many bytes a request holds while it is in flight.
 fn held_size(parts: &[Vec<u8>]) -> usize {
     let size = |part: &Vec<u8>| part.len() + size_of_val(part);
--- a/crates/agent/src/clients/command.rs
+++ b/crates/agent/src/clients/command.rs
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub(super) struct RequestArguments {
     pub(super) class: RequestClass,
+    pub(super) idempotency: Idempotency,
     pub(super) idempotency_key: Option<IdempotencyKey>,
     /// How long the client waits for the answer.
     pub(super) timeout: Duration,
@@ -55,6 +56,8 @@
     InvalidId,
     #[error("this id is in hand")]
     IdInFlight,
+    #[error("this id may have run")]
+    IdUsed,
     #[error("values are not UTF-8")]
     NotUtf8,
     #[error("a value without a name")]
@@ -129,6 +132,7 @@
     }
     Ok(Command::Request(RequestArguments {
         class: class.class,
+        idempotency: class.idempotency,
         idempotency_key: hash_key(key),
         timeout: Duration::from_millis(timeout.into()),
         estimated_work: work_hint.map(|micros| Duration::from_micros(micros.into())),
--- a/crates/agent/src/clients/mod.rs
+++ b/crates/agent/src/clients/mod.rs
@@ -15,10 +15,10 @@
 mod connection;
 mod connection_state;
 mod eviction;
-mod in_flight_ids;
 mod lingering_close;
 mod listener;
 mod reply_queue;
+mod request_ids;
 mod shutdown;
 
 use std::cell::{Cell, RefCell};
@@ -32,7 +32,7 @@
 
 use self::command::NamedClass;
 use self::connection_state::ConnectionState;
-use self::in_flight_ids::InFlightIds;
+use self::request_ids::RequestIds;
 use crate::event_loop::EventLoop;
 use crate::transport::{ByteLimit, Notifier, WakeSignal};
 use crate::upstream::UpstreamPool;
@@ -67,7 +67,7 @@
     held_bytes: ByteLimit,
     /// Counts the bytes of commands that have been read in part. Beyond its bound, input is left in the sockets.
     partial_command_bytes: ByteLimit,
-    in_flight_ids: InFlightIds,
+    request_ids: RequestIds,
     /// The open connections, by their serial number.
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     /// The number of accepted connections that are not registered with the event loop yet.
@@ -117,7 +117,7 @@
             longest_deadline: settings.longest_deadline()?,
             partial_command_bytes: ByteLimit::new(held_bytes.max_bytes / PARTIAL_COMMANDS_DIVISOR),
             held_bytes,
-            in_flight_ids: InFlightIds::default(),
+            request_ids: RequestIds::default(),
             connections: RefCell::default(),
             unregistered_connections: Cell::default(),
             connection_ended: WakeSignal::default(),
