A client that left with input unread is seen to have left

Cause: the agent looked for the end of the stream by a peek, which sees it only if nothing is unread before it: for requests read late, on connections whose input is left unread, and while partial commands have reached their bound.

Change: these three places ask the socket whether the other side has closed (POLLRDHUP), whatever is unread.

--- a/crates/agent/src/clients/connection.rs
+++ b/crates/agent/src/clients/connection.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use futures_lite::{FutureExt, StreamExt, future, pin};
 
 use super::connection_state::ConnectionState;
@@ -10,12 +11,14 @@
 use crate::log::{ConnectionEnd, Count, count, info};
 use crate::resp::{self, CommandParser};
 use crate::transport::{
-    ArrivalTracker, InputReader, RingBuffer, TcpSocket, items, peek, with_timeout,
+    ArrivalTracker, InputReader, RingBuffer, TcpSocket, has_hung_up, items, with_timeout,
 };
 
 /// A command that is read this long after its earliest possible arrival counts as read late, because the event loop
 /// was held up.
 const LATE_READ_THRESHOLD: Duration = Duration::from_millis(100);
+/// How often a connection whose input stays unread is asked whether its client has left.
+const HANG_UP_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 impl Clients {
     /// Serves a connection until it is closed.
@@ -168,13 +171,26 @@
                 None => return ConnectionEnd::Closed,
             }
         };
-        // No more commands are read. If the client leaves while one of its requests is in flight, the connection ends
-        // at once; otherwise it ends after its last reply.
         let reason = connection.end_reason.get().unwrap_or(reason);
         connection.end(reason);
+        self.wait_after_last_command(&stream, connection, reason)
+            .await
+    }
+
+    /// Waits until the client leaves, after the last command that is read. If one of its requests is in flight then, returns
+    /// so that the connection ends at once; otherwise it ends after its last reply.
+    async fn wait_after_last_command(
+        &self,
+        stream: &TcpSocket,
+        connection: &ConnectionState,
+        reason: ConnectionEnd,
+    ) -> ConnectionEnd {
         let trailing_input = connection.trailing_input(reason);
-        let end = self.wait_for_client_end(&stream, trailing_input).await;
-        if end != ConnectionEnd::TooManyMessages && connection.replies.has_unanswered() {
+        let mut end = self.wait_for_client_end(stream, trailing_input).await;
+        if end == ConnectionEnd::TooManyMessages {
+            end = wait_for_hang_up(stream).await;
+        }
+        if connection.replies.has_unanswered() {
             end
         } else {
             future::pending().await
@@ -184,7 +200,7 @@
     /// Counts a command that was read late, and returns whether its client has closed its sending side since.
     fn is_gone_after(&self, arrived: Instant, stream: &TcpSocket) -> bool {
         count(Count::RequestsReadLate);
-        let is_gone = matches!(peek(stream.get_ref(), &mut [0]), Ok(0));
+        let is_gone = has_hung_up(stream.get_ref());
         if is_gone {
             count(Count::RequestsAbandoned);
         }
@@ -222,6 +238,14 @@
     }
 }
 
+/// Waits until the client closes its side, while input before that stays unread.
+async fn wait_for_hang_up(stream: &TcpSocket) -> ConnectionEnd {
+    while !has_hung_up(stream.get_ref()) {
+        Timer::after(HANG_UP_POLL_INTERVAL).await;
+    }
+    ConnectionEnd::Closed
+}
+
 /// Returns the text of the error reply to a malformed command. It is part of the protocol, unlike the codes in log
 /// lines.
 const fn protocol_error_text(end: ConnectionEnd) -> &'static str {
--- a/crates/agent/src/transport/input_reader.rs
+++ b/crates/agent/src/transport/input_reader.rs
@@ -9,7 +9,7 @@
 use futures_lite::{FutureExt, pin};
 
 use super::ring_buffer::SocketRead;
-use super::system_call::{has_no_input, is_resource_shortage, pause_for_resources};
+use super::system_call::{has_hung_up, has_no_input, is_resource_shortage, pause_for_resources};
 use super::{ArrivalTracker, ByteLimit, ByteReservation, RingBuffer, TcpSocket, with_timeout};
 use crate::log::ConnectionEnd;
 
@@ -107,6 +107,8 @@
     item_arrived: Instant,
     /// The bound on partial items; `None` for none.
     partial_item_limit: Option<PartialItemLimit>,
+    /// Whether input that has not been read is of no use once the other side has closed.
+    ends_at_hang_up: bool,
     /// Since when bytes have been read that do not form a whole item yet; shared with the owner of the connection.
     partial_item_since: Rc<Cell<Option<Instant>>>,
 }
@@ -125,6 +127,7 @@
             last_arrival: now,
             item_arrived: now,
             partial_item_limit: None,
+            ends_at_hang_up: false,
             partial_item_since: Rc::default(),
         }
     }
@@ -140,11 +143,12 @@
     }
 
     /// Leaves the input in the socket while `limit` is reached, which counts the partial items of all readers with its
-    /// budget, but for the first KiB of an item.
+    /// budget, but for the first KiB of an item. If the other side closes meanwhile, that input is dropped.
     #[must_use]
     pub fn with_partial_item_limit(self, limit: &ByteLimit) -> Self {
         InputReader {
             partial_item_limit: Some(PartialItemLimit::new(limit, None)),
+            ends_at_hang_up: true,
             ..self
         }
     }
@@ -208,7 +212,7 @@
             }
             self.buffer.shrink_if_empty();
             self.count_partial_item();
-            self.wait_for_limit().await;
+            self.wait_for_limit(stream).await?;
             if self.read(stream).await?.count == 0 {
                 return Ok(None);
             }
@@ -225,13 +229,21 @@
     }
 
     /// Waits while the partial items of all readers exceed their bound. The read timeout of the item applies.
-    async fn wait_for_limit(&mut self) {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionEnd::Closed`] if the other side closes meanwhile: what it waits for is of no use any more.
+    async fn wait_for_limit(&mut self, stream: &TcpSocket) -> Result<(), ConnectionEnd> {
         let Some(limit) = &mut self.partial_item_limit else {
-            return;
+            return Ok(());
         };
         while !limit.allows_reading() {
+            if self.ends_at_hang_up && has_hung_up(stream.get_ref()) {
+                return Err(ConnectionEnd::Closed);
+            }
             Timer::after(LIMIT_POLL_INTERVAL).await;
         }
+        Ok(())
     }
 
     /// Waits until there is input, or the end of the stream.
--- a/crates/agent/src/transport/mod.rs
+++ b/crates/agent/src/transport/mod.rs
@@ -31,8 +31,8 @@
 pub(crate) use send_queue::{SendQueue, SendQueueReader, SocketAddresses};
 pub use service_address::ServiceAddress;
 pub use system_call::{
-    has_no_input, is_per_connection_error, is_resource_shortage, peek, retry_at_startup,
-    retry_interrupted,
+    has_hung_up, has_no_input, is_per_connection_error, is_resource_shortage, peek,
+    retry_at_startup, retry_interrupted,
 };
 
 /// A TCP connection that is registered with the event loop. The stream is shared so that it survives a failed
--- a/crates/agent/src/transport/system_call.rs
+++ b/crates/agent/src/transport/system_call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use super::TcpSocket;
 
@@ -107,6 +108,14 @@
     retry_interrupted(|| socket.peek(bytes))
 }
 
+/// Whether the other side has closed its sending side, even if input before the end of the stream has not been read yet.
+pub fn has_hung_up(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let now = Timespec::default();
+    let is_ready = matches!(poll(&mut polled, Some(&now)), Ok(1));
+    is_ready && polled[0].revents().contains(PollFlags::RDHUP)
+}
+
 /// Whether a socket has nothing to read, not even the end of the stream.
 pub fn has_no_input(stream: &TcpSocket) -> bool {
     peek(stream.get_ref(), &mut [0]).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
