A reload does not wait for the writer of the earlier timeline store

Cause: the event loop dropped the earlier store's writer, whose drop waits for its thread, which goes on trying for a second after it is closed, and for longer if the disk hangs.

Change: the earlier writer is told to finish and kept until its thread has ended; only the end of the agent waits for it.

--- a/crates/agent/src/recorder.rs
+++ b/crates/agent/src/recorder.rs
@@ -14,6 +14,7 @@
 use lilacgate_decision::{EndpointId, Outcome, RequestClass, RequestId};
 use lilacgate_operator_config::Timeline;
 use lilacgate_start_settings::{Settings, SettingsError};
+use lilacgate_store::background_writer::BackgroundWriter;
 use lilacgate_timeline::entry::{Departure, DepartureKind, DepartureScope, Record};
 use lilacgate_timeline::fleet_timeline::{AttemptEnd, FleetTimeline, MemoryLimits};
 use lilacgate_timeline::monitor::MonitorConfig;
@@ -103,6 +104,9 @@
     is_recording: Cell<bool>,
     /// The names of endpoints, kept from one timeline to the next.
     endpoint_names: RefCell<Vec<EndpointName>>,
+    /// The writers of earlier stores that have not ended yet. Waiting for one may take as long as its disk hangs, so they are
+    /// waited for only when the agent ends.
+    finishing_writers: RefCell<Vec<BackgroundWriter>>,
 }
 
 impl std::fmt::Debug for Recorder {
@@ -137,6 +141,7 @@
             buffer: RefCell::default(),
             is_recording: Cell::new(false),
             endpoint_names: RefCell::default(),
+            finishing_writers: RefCell::default(),
         };
         recorder.apply_settings(now, timeline);
         Ok(recorder)
@@ -150,9 +155,18 @@
         }
         self.is_recording.set(settings.is_some());
         self.buffer.borrow_mut().clear();
+        let earlier = open.take();
+        self.finish_writer(earlier.and_then(|earlier| earlier.store.finish()));
         *open = settings.map(|settings| self.open_timeline(now, settings));
     }
 
+    /// Keeps a writer until it has ended, and forgets those that have.
+    fn finish_writer(&self, writer: Option<BackgroundWriter>) {
+        let mut finishing = self.finishing_writers.borrow_mut();
+        finishing.retain(|writer| !writer.is_finished());
+        finishing.extend(writer);
+    }
+
     fn open_timeline(&self, now: Duration, settings: Timeline) -> OpenTimeline {
         let monitor_config = MonitorConfig {
             false_alarms_per_hour: settings.max_false_events_per_hour,
--- a/crates/agent/src/recorder/store.rs
+++ b/crates/agent/src/recorder/store.rs
@@ -45,6 +45,13 @@
         self.writer.is_some()
     }
 
+    /// Stops accepting records, and returns the writer thread, if there is one, which still writes what it has accepted.
+    pub(super) fn finish(self) -> Option<BackgroundWriter> {
+        let mut writer = self.writer?;
+        writer.finish();
+        Some(writer)
+    }
+
     /// Adds a record to the next batch.
     pub(super) fn push(&mut self, record: Record) {
         self.pending.push(record);
--- a/crates/store/src/background_writer.rs
+++ b/crates/store/src/background_writer.rs
@@ -145,6 +145,21 @@
         std::mem::take(&mut status.changes)
     }
 
+    /// Lets the thread write the batches that it has accepted, and then end, without waiting for it: only dropping the
+    /// writer does. No further batch is accepted.
+    pub fn finish(&mut self) {
+        // The thread ends when the queue is closed and empty.
+        self.queue = None;
+        self.closing = None;
+    }
+
+    /// Whether the thread has ended.
+    pub fn is_finished(&self) -> bool {
+        self.thread
+            .as_ref()
+            .is_none_or(thread::JoinHandle::is_finished)
+    }
+
     /// Waits until all accepted batches are written; if the disk fails, it gives up after about a second. Returns the
     /// number of records that were not written.
     pub fn close(mut self) -> u64 {
@@ -154,9 +169,7 @@
     }
 
     fn join(&mut self) {
-        // The thread ends when the queue is closed and empty.
-        self.queue = None;
-        self.closing = None;
+        self.finish();
         if let Some(thread) = self.thread.take() {
             // A panic of the thread has already been printed by the panic hook.
             thread.join().ok();
