A request has at most 64 values, so that many short ones do not delay other clients

Cause: all values of a list were taken apart and kept in a tree before anything else was looked at, some milliseconds of the one thread for each such command.

Change: a list with more than 64 values gets -ERR too many values; the protocol names six.

--- a/crates/agent/src/clients/command.rs
+++ b/crates/agent/src/clients/command.rs
@@ -60,6 +60,8 @@
     IdUsed,
     #[error("values are not UTF-8")]
     NotUtf8,
+    #[error("too many values")]
+    TooManyValues,
     #[error("a value without a name")]
     UnnamedValue,
     #[error("{0} stands twice")]
@@ -140,6 +142,9 @@
     }))
 }
 
+/// The largest number of `name=value` pairs in a request; the protocol names six.
+const MAX_VALUES: usize = 64;
+
 /// The `name=value` pairs of a request.
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
 
@@ -148,6 +153,9 @@
         let text = std::str::from_utf8(bytes).map_err(|_| CommandError::NotUtf8)?;
         let mut values = BTreeMap::new();
         for pair in text.split(',') {
+            if values.len() >= MAX_VALUES {
+                return Err(CommandError::TooManyValues);
+            }
             let (name, value) = pair.split_once('=').ok_or(CommandError::UnnamedValue)?;
             if values.insert(name, value).is_some() {
                 return Err(CommandError::RepeatedName(name.to_owned()));
--- a/crates/test-bed/src/test_bed/agent.rs
+++ b/crates/test-bed/src/test_bed/agent.rs
@@ -161,6 +161,16 @@
         Some(CLOCK_TICK * (ticks(USER_TIME)? + ticks(SYSTEM_TIME)?))
     }
 
+    /// The most memory that the agent has held so far, in KiB, if the system tells it.
+    pub fn agent_peak_memory(&self) -> Option<u64> {
+        let id = self.agent.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        peak.split_whitespace().next()?.parse().ok()
+    }
+
     /// Asks the agent to end, and waits for it. It is killed if it does not end in time.
     ///
     /// # Panics
